--- /dev/null
+++ b/cmd/geraniumstep/main.go
@@ -0,0 +1,12 @@
+// Command geraniumstep is a query tier between callers' routers and upstreams.
+package main
+
+import (
+	"os"
+
+	"geraniumstep.org/geraniumstep/internal/cmds"
+)
+
+func main() {
+	os.Exit(cmds.Main(os.Args, os.Stdin, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/cmds/demo.go
@@ -0,0 +1,120 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"geraniumstep.org/geraniumstep/internal/demo"
+	"geraniumstep.org/geraniumstep/internal/setup"
+)
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run a whole deployment on this machine, with load and faults",
+		Description: "Starts a platform, upstreams and nodes on loopback, sends searches and holds of all\n" +
+			"priorities, and compares what callers got with what the upstreams ran.\n\nFaults: " + strings.Join(demo.FaultNames(), ", "),
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "deployment", Value: "karatasi", Usage: "karatasi or villakude"},
+			&cli.DurationFlag{Name: "duration", Value: 10 * time.Second, Usage: "how long to send load"},
+			&cli.UintFlag{Name: "seed", Value: 1, Usage: "seed of everything random"},
+			&cli.FloatFlag{Name: "rate", Value: 0.6, Usage: "load as a share of the capacity"},
+			&cli.StringFlag{Name: "fault", Value: "none", Usage: "faults to bring about, separated by commas"},
+			&cli.BoolFlag{Name: "json", Usage: "print one JSON object as the last line"},
+			&cli.StringFlag{Name: "report", Usage: "directory for plots and the JSON"},
+			&cli.StringFlag{Name: "log", Value: "error", Usage: "log level of the nodes"},
+			&cli.StringFlag{Name: "mode", Value: "front", Usage: "baseline: front, independent or shared"},
+			&cli.StringFlag{Name: "policy", Value: "least-cost", Usage: "baseline: least-cost or random replica"},
+			&cli.StringFlag{Name: "queue", Value: "priority", Usage: "baseline: priority or fifo queue"},
+			&cli.BoolFlag{Name: "no-hedge", Usage: "baseline: never send a second attempt early"},
+			&cli.BoolFlag{Name: "no-canary", Usage: "baseline: send unproven searches to all shards at once"},
+			&cli.IntFlag{Name: "bulk-spare", Value: -1, Usage: "experiment: slots of each upstream kept free of bulk work"},
+		},
+		OnUsageError: onUsageError,
+		Action:       runDemo,
+	}
+}
+
+func runDemo(ctx context.Context, c *cli.Command) error {
+	options, err := demoOptions(c)
+	if err != nil {
+		return usage(err)
+	}
+	report, err := demo.Run(ctx, options)
+	if err != nil {
+		return err
+	}
+	out := c.Root().Writer
+	if c.Bool("json") {
+		line, err := report.JSON()
+		if err != nil {
+			return err
+		}
+		_, _ = fmt.Fprintln(out, line)
+	} else {
+		_, _ = fmt.Fprint(out, report.Table())
+	}
+	if n := report.Violations.Total(); n > 0 {
+		return &codedError{code: ExitViolation, err: fmt.Errorf("%d violations", n)}
+	}
+	return nil
+}
+
+func demoOptions(c *cli.Command) (demo.Options, error) {
+	faults, err := demo.ParseFaults(c.String("fault"))
+	if err != nil {
+		return demo.Options{}, err
+	}
+	if _, err := demo.Find(c.String("deployment")); err != nil {
+		return demo.Options{}, err
+	}
+	level, err := logrus.ParseLevel(c.String("log"))
+	if err != nil {
+		return demo.Options{}, err
+	}
+	const shortest = 2 * time.Second
+	if c.Duration("duration") < shortest {
+		return demo.Options{}, fmt.Errorf("duration %v is too short; use %v or more", c.Duration("duration"), shortest)
+	}
+	if c.Float("rate") <= 0 {
+		return demo.Options{}, fmt.Errorf("rate %v is not above zero; use a share of the capacity, as 0.6", c.Float("rate"))
+	}
+	return demo.Options{
+		Deployment: c.String("deployment"), Duration: c.Duration("duration"), Seed: uint64(c.Uint("seed")),
+		Rate: c.Float("rate"), Faults: faults, Log: c.Root().ErrWriter, Level: level,
+		Progress: terminal(c.Root().ErrWriter), ReportDir: c.String("report"),
+		Change: func(set *setup.Settings) { baseline(c, set) },
+	}, nil
+}
+
+// baseline changes what experiments compare with.
+func baseline(c *cli.Command, set *setup.Settings) {
+	set.Routing.Mode = c.String("mode")
+	set.Routing.Policy = c.String("policy")
+	set.Routing.Queue = c.String("queue")
+	set.Routing.Hedge = !c.Bool("no-hedge")
+	set.Routing.Canary = !c.Bool("no-canary")
+	if spare := c.Int("bulk-spare"); spare >= 0 {
+		set.Routing.BulkSpare = spare
+	}
+}
+
+// terminal gives the writer if a person is watching it.
+func terminal(w io.Writer) io.Writer {
+	f, ok := w.(*os.File)
+	if !ok {
+		return nil
+	}
+	info, err := f.Stat()
+	if err != nil || info.Mode()&os.ModeCharDevice == 0 {
+		return nil
+	}
+	return w
+}
--- /dev/null
+++ b/internal/cmds/standin.go
@@ -0,0 +1,102 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"geraniumstep.org/geraniumstep/internal/node"
+	"geraniumstep.org/geraniumstep/internal/stand"
+	"geraniumstep.org/geraniumstep/pkg/layout"
+)
+
+func standinCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "standin",
+		Usage: "run a stand-in for the platform or an upstream, for trials",
+		Commands: []*cli.Command{
+			{
+				Name: "platform", Usage: "run the platform's object API in memory",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "listen", Value: "127.0.0.1:7070", Usage: "address"},
+					&cli.StringFlag{Name: "catalogue", Usage: "JSON file with the catalogue to store"},
+				},
+				OnUsageError: onUsageError,
+				Action:       standinPlatform,
+			},
+			{
+				Name: "upstream", Usage: "run one upstream",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "listen", Value: "127.0.0.1:7071", Usage: "address"},
+					&cli.StringFlag{Name: "id", Required: true, Usage: "identifier in the catalogue"},
+					&cli.StringFlag{Name: "catalogue", Required: true, Usage: "JSON file with the catalogue"},
+					&cli.DurationFlag{Name: "service", Value: 10 * time.Millisecond, Usage: "mean service time"},
+					&cli.UintFlag{Name: "seed", Value: 1, Usage: "seed of the service times"},
+				},
+				OnUsageError: onUsageError,
+				Action:       standinUpstream,
+			},
+		},
+	}
+}
+
+func standinPlatform(ctx context.Context, c *cli.Command) error {
+	p, err := stand.NewPlatform(c.String("listen"), 1)
+	if err != nil {
+		return err
+	}
+	defer p.Close()
+	if path := c.String("catalogue"); path != "" {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return usage(err)
+		}
+		p.Write(node.CatalogueKey, data)
+	}
+	_, _ = fmt.Fprintf(c.Root().Writer, "platform at %s\n", p.URL())
+	<-ctx.Done()
+	return nil
+}
+
+func standinUpstream(ctx context.Context, c *cli.Command) error {
+	catalogue, err := readCatalogue(c.String("catalogue"))
+	if err != nil {
+		return usage(err)
+	}
+	own, ok := catalogue.Upstream(c.String("id"))
+	if !ok {
+		return usage(fmt.Errorf("catalogue has no upstream %q; use one of its identifiers with --id", c.String("id")))
+	}
+	shape := stand.Shape{Slots: own.Slots(), Conns: own.Conns(), Service: c.Duration("service"), Sigma: 0.4, TailFactor: 1}
+	layoutOf := func(name string, version uint64) (int, bool) {
+		a, ok := catalogue.Archive(name)
+		if !ok || a.Version() != version {
+			return 0, false
+		}
+		return len(a.Shards()), true
+	}
+	u, err := stand.NewUpstream(own.ID(), c.String("listen"), shape, stand.NewLedger(), uint64(c.Uint("seed")), layoutOf)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(c.Root().Writer, "upstream %s at %s\n", u.ID(), u.Addr())
+	<-ctx.Done()
+	u.Crash()
+	return nil
+}
+
+func readCatalogue(path string) (*layout.Catalogue, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var spec layout.Spec
+	if err := json.Unmarshal(data, &spec); err != nil {
+		return nil, fmt.Errorf("%s is not a catalogue in JSON: %w", path, err)
+	}
+	return layout.New(spec)
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,214 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"runtime"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"geraniumstep.org/geraniumstep/internal/setup"
+	"geraniumstep.org/geraniumstep/pkg/prio"
+)
+
+// Options say how a demo runs.
+type Options struct {
+	Deployment string
+	Duration   time.Duration
+	Seed       uint64
+	// Rate is the load as a share of the busiest archive's capacity.
+	Rate   float64
+	Faults []string
+	// Change adjusts the settings of every node, as for baselines.
+	Change func(*setup.Settings)
+	// Progress receives a line each second, if it is not nil.
+	Progress io.Writer
+	Log      io.Writer
+	Level    logrus.Level
+	// ReportDir receives plots and the report, if it is not empty.
+	ReportDir string
+}
+
+// Report is the outcome of a demo.
+type Report struct {
+	Deployment       string             `json:"deployment"`
+	Seed             uint64             `json:"seed"`
+	Fault            string             `json:"fault"`
+	FaultApplied     bool               `json:"fault_applied"`
+	Priorities       map[string]Outcome `json:"priorities"`
+	CoverageMean     float64            `json:"coverage_mean"`
+	ExtraLoad        float64            `json:"extra_load"`
+	GoodputRatio     float64            `json:"goodput_ratio"`
+	HoldsRun         int64              `json:"holds_run"`
+	UpstreamsCrashed int                `json:"upstreams_crashed"`
+	// CrashedPerRequest is the largest number of upstreams that one request
+	// crashed.
+	CrashedPerRequest int            `json:"upstreams_crashed_per_request"`
+	Violations        Violations     `json:"violations"`
+	Notes             []string       `json:"notes,omitempty"`
+	PlatformCalls     map[string]int `json:"platform_calls"`
+	MostConns         int            `json:"most_connections"`
+	Goroutines        int            `json:"goroutines"`
+	HeapBytes         uint64         `json:"heap_bytes"`
+	samples           []sample
+	targets           [prio.Count]time.Duration
+}
+
+const (
+	startPatience = 6 * time.Second
+	// afterwards is how long the fleet goes on after the faults have ended.
+	afterwards  = time.Second
+	reviveAfter = 3 * time.Second
+)
+
+// Run runs a demo to its end.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	d, err := Find(o.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	if o.Change == nil {
+		o.Change = func(*setup.Settings) {}
+	}
+	f, err := newFleet(d, o.Seed, o.Change, quiet(o.Log, o.Level))
+	if err != nil {
+		return nil, err
+	}
+	defer f.close()
+	starting, cancel := context.WithTimeout(ctx, startPatience)
+	defer cancel()
+	if err := f.startAll(starting); err != nil {
+		return nil, err
+	}
+	return f.measure(ctx, o)
+}
+
+// measure runs load, probes and faults over a fleet that is ready.
+func (f *fleet) measure(ctx context.Context, o Options) (*Report, error) {
+	rate := o.Rate * f.deployment.capacity()
+	check := newChecker(f.deployment, f.ledger)
+	check.published(f.spec.Revision, pinned(f.spec))
+	load := newCallers(f, check, o.Seed, rate)
+	probe := newProber(f, check, load)
+	in := &injector{
+		fleet: f, callers: load, prober: probe, check: check, rate: rate,
+		random: rand.New(rand.NewPCG(o.Seed, 4)), applied: make(map[string]bool),
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.Duration)
+	defer cancel()
+	begun := time.Now()
+	var all, faults sync.WaitGroup
+	all.Go(func() { load.run(ctx, rate) })
+	all.Go(func() { probe.run(ctx) })
+	all.Go(func() { f.reviveCrashed(ctx, reviveAfter) })
+	all.Go(func() { check.progress(ctx, o) })
+	faultTime, stop := context.WithTimeout(ctx, o.Duration-afterwards)
+	defer stop()
+	for _, name := range o.Faults {
+		faults.Go(func() {
+			if wait(faultTime, min(settle, o.Duration/5)) {
+				in.faults()[name](faultTime)
+			}
+		})
+	}
+	faults.Wait()
+	all.Wait()
+	report := f.report(o, check, in, time.Since(begun))
+	report.Goroutines = runtime.NumGoroutine()
+	return report, report.write(o.ReportDir)
+}
+
+func (f *fleet) report(o Options, check *checker, in *injector, took time.Duration) *Report {
+	violations, outcomes, coverage := check.finish()
+	totals := f.ledger.Totals()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	r := &Report{
+		Deployment: f.deployment.name, Seed: o.Seed, Fault: strings.Join(o.Faults, ","),
+		FaultApplied: len(o.Faults) > 0, Priorities: outcomes, CoverageMean: coverage,
+		HoldsRun: totals.Holds, UpstreamsCrashed: totals.Crashes, CrashedPerRequest: totals.MostCrashes,
+		Violations: violations, Notes: check.notes, PlatformCalls: f.platform.Calls(), HeapBytes: memory.HeapAlloc,
+		GoodputRatio: f.goodput(took), samples: check.samples,
+	}
+	for _, name := range o.Faults {
+		r.FaultApplied = r.FaultApplied && in.applied[name]
+	}
+	if totals.Necessary > 0 {
+		r.ExtraLoad = float64(totals.Extra) / float64(totals.Necessary)
+	}
+	for _, u := range f.upstreams {
+		r.MostConns = max(r.MostConns, u.MostConns())
+	}
+	for _, p := range prio.All() {
+		r.targets[p] = f.deployment.target(p)
+	}
+	return r
+}
+
+// goodput is the share of the busiest archive's slot time that went into
+// answers that were given whole.
+func (f *fleet) goodput(took time.Duration) float64 {
+	useful := time.Duration(0)
+	slots := 0
+	for _, u := range f.byArchive[f.deployment.busiest] {
+		useful += u.Useful()
+		slots += u.Slots()
+	}
+	return useful.Seconds() / (float64(slots) * took.Seconds())
+}
+
+// progress writes a line each second.
+func (c *checker) progress(ctx context.Context, o Options) {
+	if o.Progress == nil {
+		return
+	}
+	for wait(ctx, time.Second) {
+		c.mu.Lock()
+		line := fmt.Sprintf("%3.0fs", time.Since(c.begun).Seconds())
+		for _, p := range prio.All() {
+			line += fmt.Sprintf("  %s %d answered, %d refused, p99 %.0f ms", p, c.outcomes[p].Answered, c.outcomes[p].RefusedNotRun, quantile(c.latency[p], 99))
+		}
+		line += fmt.Sprintf("  violations %d", c.found.Total())
+		c.mu.Unlock()
+		fmt.Fprintf(o.Progress, "\r%s", line)
+	}
+	fmt.Fprintln(o.Progress)
+}
+
+// JSON writes the report as one line.
+func (r *Report) JSON() (string, error) {
+	data, err := json.Marshal(r)
+	return string(data), err
+}
+
+// Table writes the report for people.
+func (r *Report) Table() string {
+	var b strings.Builder
+	fault := r.Fault
+	if fault == "" {
+		fault = "none"
+	}
+	fmt.Fprintf(&b, "deployment %s, seed %d, fault %s (applied: %v)\n\n", r.Deployment, r.Seed, fault, r.FaultApplied)
+	fmt.Fprintf(&b, "%-9s %8s %9s %8s %8s %8s %7s %8s %8s %8s\n", "priority", "sent", "answered", "within", "not run", "unknown", "errors", "p50 ms", "p99 ms", "p999 ms")
+	for _, p := range prio.All() {
+		o := r.Priorities[p.String()]
+		within := 0.0
+		if o.Answered > 0 {
+			within = 100 * float64(o.WithinTarget) / float64(o.Answered)
+		}
+		fmt.Fprintf(&b, "%-9s %8d %9d %7.2f%% %8d %8d %7d %8.1f %8.1f %8.1f\n", p, o.Sent, o.Answered, within, o.RefusedNotRun, o.Unknown, o.Errors, o.P50, o.P99, o.P999)
+	}
+	fmt.Fprintf(&b, "\ncoverage %.5f, extra load %.2f%%, goodput %.1f%%, holds run %d, upstreams crashed %d\n",
+		r.CoverageMean, 100*r.ExtraLoad, 100*r.GoodputRatio, r.HoldsRun, r.UpstreamsCrashed)
+	fmt.Fprintf(&b, "violations %+v\n", r.Violations)
+	for _, n := range r.Notes {
+		fmt.Fprintf(&b, "  %s\n", n)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/front/call.go
@@ -0,0 +1,137 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"geraniumstep.org/geraniumstep/internal/inner"
+	"geraniumstep.org/geraniumstep/internal/wire"
+	"geraniumstep.org/geraniumstep/pkg/gate"
+	"geraniumstep.org/geraniumstep/pkg/search"
+)
+
+// maxReplyBytes bounds the body of an upstream's reply.
+const maxReplyBytes = 4 << 20
+
+var errReplyTooLarge = fmt.Errorf("reply is larger than %d bytes; lower the template's limit", maxReplyBytes)
+
+// call sends the sub-request to the upstream and reads the reply to its end.
+//
+// The request goes without an Idempotency-Key header, because net/http repeats
+// requests that carry one when a kept-alive connection breaks.
+func (l *line) call(ctx context.Context, sub *inner.Sub) (inner.SubReply, gate.Outcome) {
+	deadline, _ := ctx.Deadline()
+	if !sub.Fence.IsZero() {
+		deadline = sub.Fence
+	}
+	body, err := json.Marshal(wire.Run{
+		Request:  sub.Request,
+		Attempt:  sub.Attempt,
+		Trace:    sub.Trace,
+		Archive:  sub.Archive,
+		Shard:    sub.Shard,
+		Version:  sub.Version,
+		Deadline: deadline,
+		Priority: sub.Priority,
+		Template: sub.Template,
+		Params:   sub.Params,
+		Key:      sub.Key,
+	})
+	if err != nil {
+		return inner.SubReply{Cause: search.CauseInvalid, Unsent: true}, gate.OutcomeCanceled
+	}
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, l.url(wire.PathRun), bytes.NewReader(body))
+	if err != nil {
+		return inner.SubReply{Cause: search.CauseInvalid, Unsent: true}, gate.OutcomeCanceled
+	}
+	res, err := l.client.Do(req)
+	if err != nil {
+		return l.broken(ctx, err, !connected.Load()), gate.OutcomeCanceled
+	}
+	return l.read(ctx, res, sub)
+}
+
+func (l *line) url(path string) string {
+	return l.front.scheme + "://" + l.upstream.Addr() + path
+}
+
+func (l *line) read(ctx context.Context, res *http.Response, sub *inner.Sub) (inner.SubReply, gate.Outcome) {
+	defer res.Body.Close()
+	data, err := readAll(res.Body)
+	if err != nil {
+		return l.broken(ctx, err, false), gate.OutcomeCanceled
+	}
+	if res.StatusCode != http.StatusOK {
+		return l.refused(res, sub)
+	}
+	var reply wire.RunReply
+	if err := json.Unmarshal(data, &reply); err != nil {
+		return inner.SubReply{Cause: search.CauseInvalid}, gate.OutcomeCanceled
+	}
+	l.saw(reply.Started)
+	return inner.SubReply{OK: true, Reply: replyOf(reply)}, gate.OutcomeServed
+}
+
+func replyOf(r wire.RunReply) search.Reply {
+	return search.Reply{
+		Request: r.Request,
+		Attempt: r.Attempt,
+		Target:  search.Target{Archive: r.Archive, Shard: r.Shard, Version: r.Version},
+		Hits:    r.Hits,
+		Sum:     r.Sum,
+	}
+}
+
+func readAll(r io.Reader) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, maxReplyBytes+1))
+	if err == nil && len(data) > maxReplyBytes {
+		return nil, errReplyTooLarge
+	}
+	return data, err
+}
+
+// refused reads an answer that says why the upstream did not run the request.
+func (l *line) refused(res *http.Response, sub *inner.Sub) (inner.SubReply, gate.Outcome) {
+	seconds, _ := strconv.Atoi(res.Header.Get("Retry-After"))
+	retry := time.Duration(seconds) * time.Second
+	switch res.Header.Get(wire.HeaderRefusal) {
+	case wire.RefusalDraining:
+		l.drainSign()
+		return inner.SubReply{Cause: search.CauseDraining, Unsent: true}, gate.OutcomeCanceled
+	case wire.RefusalShed:
+		return inner.SubReply{Cause: search.CauseShed, Unsent: true, RetryAfter: retry}, gate.OutcomeShed
+	case wire.RefusalVersion:
+		return inner.SubReply{Cause: search.CauseVersionGone, Unsent: true}, gate.OutcomeCanceled
+	case wire.RefusalDeadline:
+		return inner.SubReply{Cause: search.CauseRefused, Unsent: true}, gate.OutcomeCanceled
+	}
+	l.front.log.Warnf("front: upstream %s answered %d to %s of archive %s; expected 200 or a %s header.", l.upstream.ID(), res.StatusCode, sub.Template, sub.Archive, wire.HeaderRefusal)
+	return inner.SubReply{Cause: search.CauseInvalid}, gate.OutcomeCanceled
+}
+
+// broken tells a crash of the upstream from a timeout and a broken connection.
+func (l *line) broken(ctx context.Context, err error, unsent bool) inner.SubReply {
+	if ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded) {
+		return inner.SubReply{Cause: search.CauseTimeout, Unsent: unsent}
+	}
+	suspects := l.inFlightNow()
+	if l.crashed(suspects) {
+		cause := search.CauseCrashed
+		if unsent {
+			cause = search.CauseDraining
+		}
+		return inner.SubReply{Cause: cause, Unsent: unsent}
+	}
+	return inner.SubReply{Cause: search.CauseBroken, Unsent: unsent}
+}
--- /dev/null
+++ b/internal/front/health.go
@@ -0,0 +1,161 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"syscall"
+
+	"geraniumstep.org/geraniumstep/internal/inner"
+	"geraniumstep.org/geraniumstep/internal/wire"
+	"geraniumstep.org/geraniumstep/pkg/life"
+	"geraniumstep.org/geraniumstep/pkg/poison"
+)
+
+// checkHealth asks the upstream for its health. The endpoint may lag or lie:
+// its silence or failure alone never takes an upstream out, and a new
+// incarnation is what ends a drain or an outage.
+func (l *line) checkHealth(ctx context.Context) error {
+	h, err := l.askHealth(ctx)
+	switch {
+	case err != nil:
+	case l.saw(h.Started):
+	case h.State == wire.StateDraining && l.drainBelieved():
+		l.drainSign()
+	case h.State == wire.StateOK && l.life.State() == life.UpstreamDown:
+		l.fire(life.SignUp)
+	}
+	return nil
+}
+
+func (l *line) askHealth(ctx context.Context) (wire.Health, error) {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	var h wire.Health
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, l.url(wire.PathHealth), nil)
+	if err != nil {
+		return h, err
+	}
+	res, err := l.client.Do(req)
+	if err != nil {
+		return h, err
+	}
+	defer res.Body.Close()
+	data, err := readAll(res.Body)
+	if err != nil {
+		return h, err
+	}
+	return h, json.Unmarshal(data, &h)
+}
+
+// drainBelieved tells whether a drain that only the health endpoint reports is
+// to be believed: not while most of this front's upstreams say the same, which
+// is rather a fault of the endpoints.
+func (l *line) drainBelieved() bool {
+	lines, draining := 0, 0
+	l.front.lines.Range(func(_, v any) bool {
+		lines++
+		if v.(*line).life.State() == life.UpstreamDraining {
+			draining++
+		}
+		return true
+	})
+	return 2*(draining+1) <= max(lines, 2)
+}
+
+// saw records the incarnation that an answer names and tells whether it is a
+// new one, which serves again whatever was known of the old.
+func (l *line) saw(started int64) bool {
+	if started == 0 {
+		return false
+	}
+	l.mu.Lock()
+	old := l.started
+	if started > old {
+		l.started = started
+	}
+	l.mu.Unlock()
+	if old == 0 || started <= old {
+		return false
+	}
+	l.front.drains.Delete(l.upstream.ID())
+	l.fire(life.SignUp)
+	return true
+}
+
+// drainSign closes the gate and tells the other nodes.
+func (l *line) drainSign() {
+	if l.life.State() != life.UpstreamServing {
+		return
+	}
+	started := l.incarnation()
+	l.front.drains.Store(l.upstream.ID(), started)
+	l.fire(life.SignDrain)
+	l.front.notify(inner.Notices{Drains: []inner.Drain{{Upstream: l.upstream.ID(), Started: started}}})
+}
+
+// drainNotice applies a drain that another node reported, unless the upstream
+// has come up again since.
+func (l *line) drainNotice(started int64) {
+	if l.incarnation() > started && started != 0 {
+		l.front.drains.Delete(l.upstream.ID())
+		return
+	}
+	l.fire(life.SignDrain)
+}
+
+func (l *line) incarnation() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.started
+}
+
+// inFlightNow lists the requests on the upstream.
+func (l *line) inFlightNow() []poison.Fingerprint {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.crash.started == l.started && l.crash.suspect != nil {
+		return l.crash.suspect
+	}
+	var list []poison.Fingerprint
+	for _, f := range l.running {
+		list = append(list, f)
+	}
+	return list
+}
+
+// crashed asks whether the upstream has gone down after a connection to it
+// broke, and if so holds the crash against the requests that were in flight.
+func (l *line) crashed(suspects []poison.Fingerprint) bool {
+	before := l.incarnation()
+	ctx, cancel := context.WithTimeout(context.Background(), healthTimeout)
+	defer cancel()
+	h, err := l.askHealth(ctx)
+	switch {
+	case err == nil && before == 0:
+		l.saw(h.Started)
+		return false
+	case err == nil && h.Started <= before:
+		return false
+	case err != nil && !goneAway(err):
+		return false
+	}
+	l.mu.Lock()
+	l.crash = crash{started: before, suspect: suspects}
+	l.mu.Unlock()
+	reports := l.front.tracker.Crashed(l.crashID(before), suspects)
+	l.fire(life.SignCrash)
+	if err == nil {
+		l.saw(h.Started)
+	}
+	if len(reports) > 0 {
+		l.front.notify(inner.Notices{Reports: reports})
+	}
+	return true
+}
+
+// goneAway tells whether the error shows that no process listens any more.
+func goneAway(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
--- /dev/null
+++ b/internal/inner/codec.go
@@ -0,0 +1,83 @@
+package inner
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net/rpc"
+	"sync"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// bufferBytes is the size of the buffers of one connection in each direction.
+const bufferBytes = 16 << 10
+
+// stream encodes and decodes messages on one connection.
+type stream struct {
+	conn   io.ReadWriteCloser
+	reader *msgpack.Decoder
+	writer *msgpack.Encoder
+	buffer *bufio.Writer
+	once   sync.Once
+}
+
+func newStream(conn io.ReadWriteCloser) *stream {
+	buffer := bufio.NewWriterSize(conn, bufferBytes)
+	return &stream{
+		conn:   conn,
+		reader: msgpack.NewDecoder(bufio.NewReaderSize(conn, bufferBytes)),
+		writer: msgpack.NewEncoder(buffer),
+		buffer: buffer,
+	}
+}
+
+func (s *stream) write(head, body any) error {
+	if err := errors.Join(s.writer.Encode(head), s.writer.Encode(body)); err != nil {
+		return errors.Join(err, s.Close())
+	}
+	return s.buffer.Flush()
+}
+
+// readBody decodes a body, or skips it when nobody waits for it.
+func (s *stream) readBody(body any) error {
+	if body == nil {
+		return s.reader.Skip()
+	}
+	return s.reader.Decode(body)
+}
+
+// Close closes the connection once.
+func (s *stream) Close() error {
+	var err error
+	s.once.Do(func() { err = s.conn.Close() })
+	return err
+}
+
+type clientCodec struct{ *stream }
+
+// NewClientCodec returns a codec for rpc.NewClientWithCodec.
+func NewClientCodec(conn io.ReadWriteCloser) rpc.ClientCodec {
+	return clientCodec{newStream(conn)}
+}
+
+// WriteRequest, ReadResponseHeader and ReadResponseBody implement rpc.ClientCodec.
+func (c clientCodec) WriteRequest(r *rpc.Request, body any) error { return c.write(r, body) }
+
+func (c clientCodec) ReadResponseHeader(r *rpc.Response) error { return c.reader.Decode(r) }
+
+func (c clientCodec) ReadResponseBody(body any) error { return c.readBody(body) }
+
+type serverCodec struct{ *stream }
+
+// NewServerCodec returns a codec for rpc.Server.ServeCodec.
+func NewServerCodec(conn io.ReadWriteCloser) rpc.ServerCodec {
+	return serverCodec{newStream(conn)}
+}
+
+// ReadRequestHeader, ReadRequestBody and WriteResponse implement rpc.ServerCodec.
+func (c serverCodec) ReadRequestHeader(r *rpc.Request) error { return c.reader.Decode(r) }
+
+func (c serverCodec) ReadRequestBody(body any) error { return c.readBody(body) }
+
+func (c serverCodec) WriteResponse(r *rpc.Response, body any) error { return c.write(r, body) }
--- /dev/null
+++ b/internal/node/admit.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"geraniumstep.org/geraniumstep/internal/setup"
+	"geraniumstep.org/geraniumstep/pkg/gate"
+	"geraniumstep.org/geraniumstep/pkg/prio"
+)
+
+const (
+	// firstLimit is how many searches of one priority a node runs at once
+	// until it has learned more.
+	firstLimit = 32
+	// admitDecrease is how far a sign of overload lowers that number.
+	admitDecrease = 0.9
+	// overloadMemory is how long a sign of overload keeps hedges off.
+	overloadMemory = time.Second
+	// waitShare is the part of its latency target that a search may spend
+	// queueing at upstreams before that counts as overload.
+	waitShare = 8
+)
+
+// admission decides at the door which searches this node takes on, so that
+// what the fleet cannot serve in time is refused before any upstream saw it.
+type admission struct {
+	gates    [prio.Count]*gate.Shared
+	overload [prio.Count]atomic.Int64
+	nextID   atomic.Uint64
+	bytes    atomic.Int64
+	maxBytes int64
+}
+
+func newAdmission(l setup.Limits) *admission {
+	a := &admission{maxBytes: l.InFlightBytes}
+	for p := range a.gates {
+		a.gates[p] = gate.NewShared(
+			gate.WithSlots(l.InFlight),
+			gate.WithInitial(min(firstLimit, l.InFlight)),
+			gate.WithQueue(l.Queue),
+			gate.WithDecrease(admitDecrease),
+		)
+	}
+	return a
+}
+
+// entry is a search that was let in.
+type entry struct {
+	admission *admission
+	ticket    gate.Ticket
+	begun     time.Time
+}
+
+// enter waits for the search's turn. It reports false with the refusal when
+// the search cannot be served by the deadline.
+func (a *admission) enter(ctx context.Context, p prio.Priority, workspace string, deadline time.Time) (*entry, gate.Refuse, bool) {
+	t := gate.NewTicket(a.nextID.Add(1), p, workspace, deadline, false)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	if refusal, ok := a.gates[p].Acquire(ctx, t); !ok {
+		return nil, refusal, false
+	}
+	return &entry{admission: a, ticket: t, begun: time.Now()}, gate.Refuse{}, true
+}
+
+// leave ends a search. Overloaded tells that it queued too long at upstreams.
+func (e *entry) leave(overloaded bool) {
+	p := e.ticket.Priority()
+	outcome := gate.OutcomeServed
+	if overloaded {
+		outcome = gate.OutcomeShed
+		e.admission.overload[p].Store(time.Now().UnixNano())
+	}
+	e.admission.gates[p].Release(e.ticket, time.Since(e.begun), outcome)
+}
+
+// overloaded tells whether searches of the priority queued too long just now.
+func (a *admission) overloaded(p prio.Priority) bool {
+	return time.Now().UnixNano()-a.overload[p].Load() < int64(overloadMemory)
+}
+
+// reserve takes memory for a request's body and results.
+func (a *admission) reserve(bytes int64) bool {
+	if a.bytes.Add(bytes) > a.maxBytes {
+		a.bytes.Add(-bytes)
+		return false
+	}
+	return true
+}
+
+func (a *admission) free(bytes int64) { a.bytes.Add(-bytes) }
--- /dev/null
+++ b/internal/node/secure.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+
+	"geraniumstep.org/geraniumstep/internal/certs"
+	"geraniumstep.org/geraniumstep/internal/front"
+	"geraniumstep.org/geraniumstep/internal/setup"
+)
+
+// secure holds the certificates of the node's connections. A nil source means
+// plain TCP.
+type secure struct {
+	caller   *certs.Source
+	inner    *certs.Source
+	upstream *certs.Source
+}
+
+func (s *secure) load(set setup.TLS) error {
+	var err error
+	if s.caller, err = certs.Open(set.Caller); err != nil {
+		return err
+	}
+	if s.inner, err = certs.Open(set.Inner); err != nil {
+		return err
+	}
+	s.upstream, err = certs.Open(set.Upstream)
+	return err
+}
+
+// listener puts TLS on a listener, if there is a certificate for it.
+func (s *secure) listener(l net.Listener, source *certs.Source) net.Listener {
+	if source == nil {
+		return l
+	}
+	return tls.NewListener(l, source.Server())
+}
+
+// dialed puts TLS on a connection to another node.
+func (s *secure) dialed(conn net.Conn, addr string) (net.Conn, error) {
+	if s.inner == nil {
+		return conn, nil
+	}
+	return handshake(context.Background(), conn, addr, s.inner)
+}
+
+func handshake(ctx context.Context, conn net.Conn, addr string, source *certs.Source) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, err
+	}
+	secured := tls.Client(conn, source.Client(host))
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return secured, nil
+}
+
+// frontOptions puts TLS on the connections to upstreams.
+func (s *secure) frontOptions() []front.Option {
+	if s.upstream == nil {
+		return nil
+	}
+	return []front.Option{front.WithTransport("https", func(t *http.Transport) {
+		dial := t.DialContext
+		t.DialTLSContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dial(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return handshake(ctx, conn, addr, s.upstream)
+		}
+	})}
+}
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+
+	"geraniumstep.org/geraniumstep/internal/inner"
+	"geraniumstep.org/geraniumstep/pkg/config"
+	"geraniumstep.org/geraniumstep/pkg/member"
+	"geraniumstep.org/geraniumstep/pkg/store"
+)
+
+// Status is what operators see of a node.
+type Status struct {
+	VM        string          `json:"vm"`
+	Domain    string          `json:"failure_domain"`
+	State     string          `json:"state"`
+	Started   int64           `json:"started"`
+	Config    uint64          `json:"config_revision"`
+	Catalogue uint64          `json:"catalogue_revision"`
+	FromStore bool            `json:"config_from_store"`
+	Slots     int             `json:"slots_owned"`
+	Keys      int             `json:"keys_remembered"`
+	Members   []member.Record `json:"-"`
+}
+
+// Status reads the node's present state.
+func (n *Node) Status() Status {
+	records, _ := n.members.snapshot()
+	return Status{
+		VM: n.set.VM, Domain: n.set.FailureDomain, State: n.State().String(), Started: n.Started(),
+		Config: n.Config().Revision(), Catalogue: n.Catalogue().Revision(), FromStore: n.sync.fromStore.Load(),
+		Slots: n.holds.slotsOwned(), Keys: n.holds.remembered(), Members: records,
+	}
+}
+
+// Commit accepts a change of the configuration into the log.
+func (n *Node) Commit(ctx context.Context, c config.Change) (config.Change, error) {
+	won, err := config.Commit(ctx, n.store, n.conf, c)
+	n.sync.tell()
+	return won, err
+}
+
+// History reads the audit trail from the store, oldest first.
+func (n *Node) History(ctx context.Context, after uint64, limit int) ([]config.Change, error) {
+	return ReadHistory(ctx, n.store, after, limit)
+}
+
+// ReadHistory reads changes from a store, oldest first.
+func ReadHistory(ctx context.Context, st store.Store, after uint64, limit int) ([]config.Change, error) {
+	objects, err := st.List(ctx, config.Prefix, config.KeyOf(after), limit)
+	if err != nil {
+		return nil, err
+	}
+	changes := make([]config.Change, len(objects))
+	for i, o := range objects {
+		if err := json.Unmarshal(o.Value, &changes[i]); err != nil {
+			return nil, err
+		}
+	}
+	return changes, nil
+}
+
+// PeerStatus asks every member that is not known to have left for its
+// versions. Those that do not answer are listed without them.
+func (n *Node) PeerStatus(ctx context.Context) []PeerStatus {
+	records, _ := n.members.snapshot()
+	list := make([]PeerStatus, 0, len(records))
+	done := make(chan PeerStatus)
+	asked := 0
+	for _, r := range records {
+		if r.Status >= member.Dead {
+			continue
+		}
+		asked++
+		n.goServe(func() { done <- n.askPeer(ctx, r) })
+	}
+	for range asked {
+		list = append(list, <-done)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].VM < list[j].VM })
+	return list
+}
+
+// PeerStatus is one member as this node sees it.
+type PeerStatus struct {
+	VM        string `json:"vm"`
+	Domain    string `json:"failure_domain"`
+	Status    string `json:"status"`
+	Ready     bool   `json:"ready"`
+	Reachable bool   `json:"reachable"`
+	Config    uint64 `json:"config_revision"`
+	Catalogue uint64 `json:"catalogue_revision"`
+}
+
+func (n *Node) askPeer(ctx context.Context, r member.Record) PeerStatus {
+	p := PeerStatus{VM: r.VM, Domain: r.Domain, Status: r.Status.String(), Ready: r.Ready}
+	have := n.versions()
+	if r.VM != n.set.VM {
+		var reply inner.VersionsReply
+		ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+		defer cancel()
+		if err := n.peers.Call(ctx, r.Addr, inner.MethodVersions, &inner.None{}, &reply); err != nil {
+			return p
+		}
+		have = reply.Have
+	}
+	p.Reachable, p.Config, p.Catalogue = true, have.Config, have.Catalogue
+	return p
+}
+
+// LiveMembers counts the members that this node takes for alive and ready.
+func (n *Node) LiveMembers() int { return len(n.view.Load().ready) }
--- /dev/null
+++ b/internal/node/submit.go
@@ -0,0 +1,252 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"geraniumstep.org/geraniumstep/internal/inner"
+	"geraniumstep.org/geraniumstep/internal/wire"
+	"geraniumstep.org/geraniumstep/pkg/dedup"
+	"geraniumstep.org/geraniumstep/pkg/layout"
+	"geraniumstep.org/geraniumstep/pkg/search"
+)
+
+const (
+	// ownerRetry is the first delay before the owner of a key is looked for
+	// again, and ownerPatience how long that goes on.
+	ownerRetry    = 20 * time.Millisecond
+	ownerPatience = time.Second
+)
+
+// Submit runs a non-idempotent request at most once.
+func (n *Node) Submit(ctx context.Context, req Request) (*wire.Answer, *wire.Problem) {
+	r, p := n.resolve(req)
+	if p != nil {
+		return nil, p
+	}
+	if r.template.Idempotent() {
+		return nil, problem(http.StatusUnprocessableEntity, wire.KindInvalid, "template is idempotent",
+			fmt.Sprintf("template %q is a search; POST it to searches", r.template.Name()))
+	}
+	if _, ok := r.values[r.template.Partition()]; !ok {
+		return nil, problem(http.StatusBadRequest, wire.KindInvalid, "parameter missing",
+			fmt.Sprintf("template %q needs parameter %q; add it", r.template.Name(), r.template.Partition()))
+	}
+	if p := n.checkFanOut(r, n.Catalogue()); p != nil {
+		return nil, p
+	}
+	key, err := dedup.ParseKey(req.Key)
+	if err != nil {
+		return nil, problem(http.StatusBadRequest, wire.KindInvalid, "idempotency key not accepted", err.Error())
+	}
+	reply := n.locate(ctx, r, key, req)
+	n.metrics.submitted.WithLabelValues(r.workspace.Priority().String(), reply.Outcome.Status.String()).Inc()
+	return submitAnswer(reply)
+}
+
+func submitAnswer(reply inner.SubmitReply) (*wire.Answer, *wire.Problem) {
+	if reply.Verdict == inner.VerdictInvalid {
+		return nil, problem(http.StatusBadRequest, wire.KindInvalid, "request not accepted", reply.Why)
+	}
+	switch reply.Outcome.Status {
+	case dedup.Ran:
+		var a wire.Answer
+		if err := json.Unmarshal(reply.Outcome.Answer, &a); err != nil {
+			return nil, unknown("recorded answer is not readable")
+		}
+		return &a, nil
+	case dedup.NotRun:
+		return nil, notRun(orElse(reply.Why, "no upstream could take the request in time; send it again"), 0)
+	}
+	return nil, unknown(orElse(reply.Why, "request may have run and is not run again; ask with the same key, or check before making a new one"))
+}
+
+func orElse(s, other string) string {
+	if s == "" {
+		return other
+	}
+	return s
+}
+
+// locate brings the request to the owner of its key, looking for the owner
+// again while ownership moves.
+func (n *Node) locate(ctx context.Context, r *resolved, key dedup.Key, req Request) inner.SubmitReply {
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	args := &inner.Submit{
+		Workspace: r.workspace.Name(),
+		Template:  r.template.Name(),
+		Params:    r.params,
+		Key:       key.String(),
+		Trace:     r.trace,
+		First:     req.First,
+	}
+	patience := time.Now().Add(ownerPatience)
+	for delay := ownerRetry; ; delay *= 2 {
+		args.Budget = time.Until(r.deadline)
+		reply, sent := n.ask(ctx, key, args)
+		if sent {
+			return reply
+		}
+		if time.Now().Add(delay).After(patience) || !sleep(ctx, n.random.jitter(delay)) {
+			return notOwned(req.First)
+		}
+	}
+}
+
+// ask submits to the key's owner. It reports false when the owner is not known
+// or says that it is not the owner, so that nothing has happened.
+func (n *Node) ask(ctx context.Context, key dedup.Key, args *inner.Submit) (inner.SubmitReply, bool) {
+	vm, addr, ok := n.holds.owner(key)
+	if !ok {
+		return inner.SubmitReply{}, false
+	}
+	if vm == n.set.VM {
+		reply := n.holds.submit(ctx, args)
+		return reply, reply.Verdict != inner.VerdictNotOwner
+	}
+	var reply inner.SubmitReply
+	err := n.peers.Call(ctx, addr, inner.MethodSubmit, args, &reply)
+	switch {
+	case err == nil:
+		return reply, reply.Verdict != inner.VerdictNotOwner
+	case errors.Is(err, inner.ErrUnsent):
+		return reply, false
+	}
+	return inner.SubmitReply{Outcome: dedup.Outcome{Status: dedup.Unknown}, Why: "owner of the key did not answer"}, true
+}
+
+// notOwned answers a request whose key nobody owns. Only a first send is
+// known not to have run.
+func notOwned(first bool) inner.SubmitReply {
+	status := dedup.Unknown
+	if first {
+		status = dedup.NotRun
+	}
+	return inner.SubmitReply{
+		Outcome: dedup.Outcome{Status: status},
+		Why:     "owner of the key cannot be reached; for a new request get a key with POST /v1/keys",
+	}
+}
+
+// job is a non-idempotent request in the hands of its key's owner.
+type job struct {
+	node     *Node
+	resolved *resolved
+	key      dedup.Key
+	budget   time.Duration
+}
+
+// newJob checks the request against the owner's own configuration, which may
+// lag behind that of the node that took it.
+func (n *Node) newJob(args *inner.Submit, key dedup.Key) (*job, *wire.Problem) {
+	var values map[string]any
+	if err := json.Unmarshal(args.Params, &values); err != nil {
+		return nil, problem(http.StatusBadRequest, wire.KindInvalid, "parameters not readable", err.Error())
+	}
+	r, p := n.resolve(Request{Workspace: args.Workspace, Template: args.Template, Parameters: values, Timeout: args.Budget, Trace: args.Trace})
+	if p != nil {
+		return nil, p
+	}
+	return &job{node: n, resolved: r, key: key, budget: args.Budget}, nil
+}
+
+// execute sends the request until one send may have reached the upstream, and
+// never after that.
+func (j *job) execute(fence time.Time) dedup.Outcome {
+	deadline := j.resolved.deadline
+	if !fence.IsZero() && fence.Before(deadline) {
+		deadline = fence
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	request := j.node.requestID()
+	for try := 0; ; try++ {
+		catalogue := j.node.Catalogue()
+		target, upstream, ok := j.target(catalogue)
+		if !ok {
+			return dedup.Outcome{Status: dedup.NotRun}
+		}
+		sub := j.sub(request, uint32(try), target, upstream, deadline)
+		reply := j.node.dispatch(ctx, sub, upstream)
+		switch {
+		case reply.OK && echoes(sub, reply.Reply):
+			return j.ran(request, catalogue, reply.Reply)
+		case !reply.Unsent || reply.OK:
+			return dedup.Outcome{Status: dedup.Unknown}
+		case reply.Cause == search.CauseQuarantined:
+			return dedup.Outcome{Status: dedup.NotRun}
+		case reply.Cause == search.CauseVersionGone:
+			j.node.sync.catalogueNow(ctx)
+		}
+		if !sleep(ctx, j.node.backoff(try)) {
+			return dedup.Outcome{Status: dedup.NotRun}
+		}
+	}
+}
+
+// target chooses the shard by the value of the partition parameter.
+func (j *job) target(c *layout.Catalogue) (search.Target, *layout.Upstream, bool) {
+	a, ok := c.Archive(j.resolved.template.Archives()[0])
+	if !ok || len(a.Shards()) == 0 {
+		return search.Target{}, nil, false
+	}
+	value := fmt.Sprint(j.resolved.values[j.resolved.template.Partition()])
+	shard := int(xxhash.Sum64String(value) % uint64(len(a.Shards())))
+	u, ok := j.node.table.Pick(a.Shards()[shard].Replicas(), nil)
+	return search.Target{Archive: a.Name(), Shard: shard, Version: a.Version()}, u, ok
+}
+
+func (j *job) sub(request string, attempt uint32, t search.Target, u *layout.Upstream, deadline time.Time) *inner.Sub {
+	return &inner.Sub{
+		Request:     request,
+		Trace:       j.resolved.trace,
+		Attempt:     attempt,
+		Upstream:    u.ID(),
+		Archive:     t.Archive,
+		Shard:       t.Shard,
+		Version:     t.Version,
+		Budget:      time.Until(deadline),
+		Fence:       deadline,
+		Priority:    j.resolved.workspace.Priority(),
+		Workspace:   j.resolved.workspace.Name(),
+		Template:    j.resolved.template.Name(),
+		Params:      j.resolved.params,
+		Key:         j.key.String(),
+		Fingerprint: j.resolved.print,
+	}
+}
+
+func echoes(sub *inner.Sub, r search.Reply) bool {
+	want := search.Target{Archive: sub.Archive, Shard: sub.Shard, Version: sub.Version}
+	return r.Request == sub.Request && r.Attempt == sub.Attempt && r.Target == want
+}
+
+func (j *job) ran(request string, c *layout.Catalogue, r search.Reply) dedup.Outcome {
+	j.node.tracker.Succeeded(j.resolved.print)
+	coverage := []search.Coverage{{Archive: r.Target.Archive, Version: r.Target.Version, Shards: 1}}
+	data, err := json.Marshal(wire.Answer{Request: request, Snapshot: c.Revision(), Hits: r.Hits, Ratio: 1, Coverage: coverage})
+	if err != nil {
+		return dedup.Outcome{Status: dedup.Unknown}
+	}
+	return dedup.Outcome{Status: dedup.Ran, Answer: data}
+}
+
+// IssueKeys makes idempotency keys that only this process runs.
+func (n *Node) IssueKeys(count int) ([]string, bool) {
+	keys := make([]string, 0, count)
+	for range count {
+		k, ok := n.holds.issue()
+		if !ok {
+			return nil, false
+		}
+		keys = append(keys, k.String())
+	}
+	return keys, true
+}
--- /dev/null
+++ b/internal/stand/platform.go
@@ -0,0 +1,318 @@
+// Package stand holds stand-ins for what surrounds the tier: the platform's
+// object API, upstreams, and the network between failure domains. They keep
+// their own record of what happened, which checks rely on.
+package stand
+
+import (
+	"encoding/json"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"geraniumstep.org/geraniumstep/internal/platf"
+	"geraniumstep.org/geraniumstep/pkg/store"
+)
+
+const (
+	platformWrites = 300
+	platformReads  = 2000
+	vmListLag      = time.Second
+)
+
+// Platform stands in for the platform's object API. It holds its objects in
+// memory.
+type Platform struct {
+	server *http.Server
+	addr   string
+	writes *rate.Limiter
+	reads  *rate.Limiter
+	random *rand.Rand
+
+	mu      sync.Mutex
+	objects map[string]store.Object
+	version uint64
+	changed chan struct{}
+	vms     []store.VM
+	vmsOld  []store.VM
+	vmsAt   time.Time
+	down    bool
+	delay   time.Duration
+	lose    float64
+	lost    int
+	denied  int
+	slowed  int
+	calls   map[string]int
+}
+
+// NewPlatform starts a platform on the address.
+func NewPlatform(addr string, seed uint64) (*Platform, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	p := &Platform{
+		addr:    l.Addr().String(),
+		writes:  rate.NewLimiter(platformWrites, platformWrites),
+		reads:   rate.NewLimiter(platformReads, platformReads),
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		objects: make(map[string]store.Object),
+		changed: make(chan struct{}),
+		calls:   make(map[string]int),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platf.PathObjects+"{key...}", p.counted("get", p.reads, p.get))
+	mux.HandleFunc("PUT "+platf.PathObjects+"{key...}", p.counted("put", p.writes, p.put))
+	mux.HandleFunc("GET "+platf.PathList, p.counted("list", p.reads, p.list))
+	mux.HandleFunc("GET "+platf.PathWatch, p.counted("watch", p.reads, p.watch))
+	mux.HandleFunc("GET "+platf.PathVMs, p.counted("vms", p.reads, p.listVMs))
+	p.server = &http.Server{Handler: mux}
+	go func() { _ = p.server.Serve(l) }()
+	return p, nil
+}
+
+// URL is where the platform serves.
+func (p *Platform) URL() string { return "http://" + p.addr }
+
+// Close stops the platform.
+func (p *Platform) Close() { _ = p.server.Close() }
+
+// SetDown makes every call fail, or serves again.
+func (p *Platform) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+	p.wake()
+}
+
+// SetDelay makes every call take longer.
+func (p *Platform) SetDelay(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = d
+}
+
+// SetLostReplies makes a share of the writes take effect without an answer.
+func (p *Platform) SetLostReplies(share float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lose = share
+}
+
+// Faults counts the calls that were denied while down, slowed, or whose reply
+// was lost.
+func (p *Platform) Faults() (denied, slowed, lost int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.denied, p.slowed, p.lost
+}
+
+// Calls counts the calls of each kind, a waiting watch as one.
+func (p *Platform) Calls() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.calls)
+}
+
+// SetVM changes an entry of the list of VMs, which callers see after a lag.
+func (p *Platform) SetVM(vm store.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.settleVMs()
+	p.vmsOld = slices.Clone(p.vms)
+	p.vmsAt = time.Now()
+	i := slices.IndexFunc(p.vms, func(have store.VM) bool { return have.Name == vm.Name })
+	if i < 0 {
+		p.vms = append(p.vms, vm)
+		return
+	}
+	p.vms[i] = vm
+}
+
+// SettleVMs makes the list of VMs current at once.
+func (p *Platform) SettleVMs() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.vmsOld = p.vms
+}
+
+func (p *Platform) settleVMs() {
+	if time.Since(p.vmsAt) > vmListLag {
+		p.vmsOld = p.vms
+	}
+}
+
+// Write stores an object whatever its version, as the firm's own tools do.
+func (p *Platform) Write(key string, value []byte) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.write(key, value)
+}
+
+func (p *Platform) write(key string, value []byte) uint64 {
+	p.version++
+	p.objects[key] = store.Object{Key: key, Version: p.version, Value: value}
+	p.wake()
+	return p.version
+}
+
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// counted counts a call and applies the faults of the moment.
+func (p *Platform) counted(kind string, limiter *rate.Limiter, serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		p.calls[kind]++
+		down, delay := p.down, p.delay
+		if down {
+			p.denied++
+		}
+		if delay > 0 {
+			p.slowed++
+		}
+		p.mu.Unlock()
+		if delay > 0 {
+			time.Sleep(delay)
+		}
+		switch {
+		case down:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case !limiter.Allow():
+			w.WriteHeader(http.StatusTooManyRequests)
+		default:
+			serve(w, r)
+		}
+	}
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	o, ok := p.objects[r.PathValue("key")]
+	p.mu.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	respond(w, o)
+}
+
+func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(io.LimitReader(r.Body, store.MaxValueBytes+1))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if len(value) > store.MaxValueBytes {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := r.PathValue("key")
+	if !precondition(r.Header, p.objects[key].Version) {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
+	version := p.write(key, value)
+	if p.random.Float64() < p.lose {
+		p.lost++
+		panic(http.ErrAbortHandler)
+	}
+	respond(w, platf.Written{Version: version})
+}
+
+func precondition(h http.Header, version uint64) bool {
+	if h.Get("If-None-Match") == "*" {
+		return version == store.Absent
+	}
+	want, err := strconv.ParseUint(strings.Trim(h.Get("If-Match"), `"`), 10, 64)
+	return err == nil && want == version
+}
+
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	list := p.match(q.Get("prefix"), func(o store.Object) bool { return o.Key > q.Get("after") })
+	p.mu.Unlock()
+	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
+	respond(w, list[:min(limit, len(list))])
+}
+
+func (p *Platform) match(prefix string, want func(store.Object) bool) []store.Object {
+	list := []store.Object{}
+	for key, o := range p.objects {
+		if strings.HasPrefix(key, prefix) && want(o) {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, err := strconv.ParseUint(q.Get("version"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, err := time.ParseDuration(q.Get("wait"))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		p.mu.Lock()
+		list := p.match(q.Get("prefix"), func(o store.Object) bool { return o.Version > after })
+		changed, down := p.changed, p.down
+		p.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if len(list) > 0 {
+			sort.Slice(list, func(i, j int) bool { return list[i].Version < list[j].Version })
+			respond(w, list)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			respond(w, list)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (p *Platform) listVMs(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	p.settleVMs()
+	list := slices.Clone(p.vmsOld)
+	p.mu.Unlock()
+	respond(w, list)
+}
+
+func respond(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/pkg/budget/budget.go
@@ -0,0 +1,74 @@
+// Package budget bounds extra work, such as hedges and retries, to a share of
+// the primary work: every primary request earns a fraction of a token and every
+// extra request spends a whole one.
+//
+//	b := budget.New(0.04, budget.WithBurst(20))
+//	b.Earn(20)           // twenty primary sub-requests
+//	if b.Spend() { … }   // one hedge
+package budget
+
+import "sync/atomic"
+
+// unit is one token in the integer arithmetic of a Budget.
+const unit = 1_000_000
+
+const defaultBurst = 20
+
+// Budget is a token budget. It is safe for concurrent use and takes no lock.
+type Budget struct {
+	share int64
+	burst int64
+	level atomic.Int64
+	spent atomic.Int64
+	held  atomic.Int64
+}
+
+// Option changes a Budget at construction.
+type Option func(*Budget)
+
+// WithBurst sets how many tokens may be saved up. The default is 20.
+func WithBurst(tokens int) Option { return func(b *Budget) { b.burst = int64(tokens) * unit } }
+
+// New returns a Budget that allows the given share of extra work. It starts
+// half full.
+func New(share float64, opts ...Option) *Budget {
+	b := &Budget{share: int64(share * unit), burst: defaultBurst * unit}
+	for _, opt := range opts {
+		opt(b)
+	}
+	b.level.Store(b.burst / 2)
+	return b
+}
+
+// Earn credits n primary requests.
+func (b *Budget) Earn(n int) {
+	gain := b.share * int64(n)
+	for {
+		old := b.level.Load()
+		now := min(old+gain, b.burst)
+		if old == now || b.level.CompareAndSwap(old, now) {
+			return
+		}
+	}
+}
+
+// Spend takes one token and tells whether there was one.
+func (b *Budget) Spend() bool {
+	for {
+		old := b.level.Load()
+		if old < unit {
+			b.held.Add(1)
+			return false
+		}
+		if b.level.CompareAndSwap(old, old-unit) {
+			b.spent.Add(1)
+			return true
+		}
+	}
+}
+
+// Spent counts the tokens taken so far.
+func (b *Budget) Spent() int64 { return b.spent.Load() }
+
+// Denied counts the extra requests that found no token.
+func (b *Budget) Denied() int64 { return b.held.Load() }
--- /dev/null
+++ b/pkg/gate/class.go
@@ -0,0 +1,160 @@
+package gate
+
+import (
+	"container/heap"
+	"time"
+)
+
+// class holds the waiting tickets of one priority, one flow for each workspace.
+type class struct {
+	fifo  bool
+	flows map[string]*flow
+	count int
+	// served is the virtual time of the flow that was served last; a flow
+	// that returns after a pause starts here and gains nothing by its pause.
+	served float64
+}
+
+// flow holds the waiting tickets of one workspace, earliest deadline first.
+type flow struct {
+	tickets ticketHeap
+	virtual float64
+}
+
+func newClass(fifo bool) class {
+	return class{fifo: fifo, flows: make(map[string]*flow)}
+}
+
+func (c *class) size() int { return c.count }
+
+func (c *class) push(t Ticket) {
+	name := t.workspace
+	if c.fifo {
+		name = ""
+	}
+	f, ok := c.flows[name]
+	if !ok {
+		f = &flow{virtual: c.served, tickets: ticketHeap{fifo: c.fifo}}
+		c.flows[name] = f
+	}
+	heap.Push(&f.tickets, t)
+	c.count++
+}
+
+// least finds the flow that was served least.
+func (c *class) least() (string, *flow) {
+	var (
+		name string
+		best *flow
+	)
+	for n, f := range c.flows {
+		if best == nil || f.virtual < best.virtual || f.virtual == best.virtual && f.first().Before(best.first()) {
+			name, best = n, f
+		}
+	}
+	return name, best
+}
+
+func (f *flow) first() time.Time { return f.tickets.list[0].deadline }
+
+func (c *class) peek() (Ticket, bool) {
+	_, f := c.least()
+	if f == nil {
+		return Ticket{}, false
+	}
+	return f.tickets.list[0], true
+}
+
+func (c *class) pop() {
+	name, f := c.least()
+	heap.Pop(&f.tickets)
+	c.count--
+	c.served = f.virtual
+	f.virtual++
+	if f.tickets.Len() == 0 {
+		delete(c.flows, name)
+	}
+}
+
+func (c *class) remove(id uint64) bool {
+	for name, f := range c.flows {
+		for i := range f.tickets.list {
+			if f.tickets.list[i].id != id {
+				continue
+			}
+			c.drop(name, f, i)
+			return true
+		}
+	}
+	return false
+}
+
+// dropLast removes the ticket with the latest deadline of the longest flow.
+func (c *class) dropLast() (Ticket, bool) {
+	var (
+		name    string
+		longest *flow
+	)
+	for n, f := range c.flows {
+		if longest == nil || f.tickets.Len() > longest.tickets.Len() || f.tickets.Len() == longest.tickets.Len() && n < name {
+			name, longest = n, f
+		}
+	}
+	if longest == nil {
+		return Ticket{}, false
+	}
+	last := 0
+	for i, t := range longest.tickets.list {
+		if t.deadline.After(longest.tickets.list[last].deadline) {
+			last = i
+		}
+	}
+	t := longest.tickets.list[last]
+	c.drop(name, longest, last)
+	return t, true
+}
+
+func (c *class) drop(name string, f *flow, i int) {
+	heap.Remove(&f.tickets, i)
+	c.count--
+	if f.tickets.Len() == 0 {
+		delete(c.flows, name)
+	}
+}
+
+func (c *class) clear() []Ticket {
+	var all []Ticket
+	for _, f := range c.flows {
+		all = append(all, f.tickets.list...)
+	}
+	clear(c.flows)
+	c.count = 0
+	return all
+}
+
+// ticketHeap orders tickets by deadline, or by arrival for the baseline.
+type ticketHeap struct {
+	list []Ticket
+	fifo bool
+}
+
+// Len, Less, Swap, Push and Pop implement heap.Interface.
+func (h ticketHeap) Len() int { return len(h.list) }
+
+func (h ticketHeap) Less(i, j int) bool {
+	a, b := h.list[i], h.list[j]
+	if h.fifo || a.deadline.Equal(b.deadline) {
+		return a.arrived.Before(b.arrived)
+	}
+	return a.deadline.Before(b.deadline)
+}
+
+func (h ticketHeap) Swap(i, j int) { h.list[i], h.list[j] = h.list[j], h.list[i] }
+
+func (h *ticketHeap) Push(x any) { h.list = append(h.list, x.(Ticket)) }
+
+func (h *ticketHeap) Pop() any {
+	last := h.list[len(h.list)-1]
+	h.list = h.list[:len(h.list)-1]
+	return last
+}
--- /dev/null
+++ b/pkg/lease/keeper.go
@@ -0,0 +1,427 @@
+package lease
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"geraniumstep.org/geraniumstep/pkg/route"
+)
+
+// Keeper holds the lease and the slots of one node. It is not safe for
+// concurrent use.
+type Keeper struct {
+	base     string
+	started  int
+	ttl      time.Duration
+	margin   time.Duration
+	slots    int
+	fenceOff bool
+	skew     time.Duration
+
+	version  uint64
+	expires  time.Time
+	writing  bool
+	leaving  bool
+	released bool
+	renewAt  time.Time
+	owned    map[int]*slot
+	takes    map[int]*take
+	sealed   map[int]handover
+	out      []Action
+}
+
+// slot is a slot that this node owns.
+type slot struct {
+	since   time.Time
+	version uint64
+	sealed  bool
+}
+
+// take is an attempt to become the owner of a slot.
+type take struct {
+	probedAt time.Time
+	busy     bool
+	version  uint64
+	owner    string
+	// handed is what the slot's owner handed over, if it did.
+	handed handover
+}
+
+// handover is a slot as its owner sealed it.
+type handover struct {
+	version uint64
+	since   time.Time
+	at      time.Time
+}
+
+// Option changes a Keeper at construction.
+type Option func(*Keeper)
+
+// WithTTL sets how long a lease lasts. The default is 10 s.
+func WithTTL(d time.Duration) Option { return func(k *Keeper) { k.ttl = d } }
+
+// WithMargin sets by how much any two clocks may differ. The default is 500 ms.
+func WithMargin(d time.Duration) Option { return func(k *Keeper) { k.margin = d } }
+
+// WithSlots sets into how many slots the key space is cut. All nodes must
+// agree. The default is 64.
+func WithSlots(n int) Option { return func(k *Keeper) { k.slots = n } }
+
+// WithoutFence makes Fence return the zero time, which shows in tests what the
+// fence prevents.
+func WithoutFence() Option { return func(k *Keeper) { k.fenceOff = true } }
+
+// WithSkew makes the node's clock differ from the runtime's, as clocks of VMs
+// do. It is for tests.
+func WithSkew(d time.Duration) Option { return func(k *Keeper) { k.skew = d } }
+
+// New returns a Keeper for the owner of that name. The name must differ between
+// two processes of one VM.
+func New(owner string, opts ...Option) *Keeper {
+	k := &Keeper{
+		base:   owner,
+		ttl:    defaultTTL,
+		margin: defaultMargin,
+		slots:  defaultSlots,
+		owned:  make(map[int]*slot),
+		takes:  make(map[int]*take),
+		sealed: make(map[int]handover),
+	}
+	for _, opt := range opts {
+		opt(k)
+	}
+	return k
+}
+
+// Name is the owner's name in the store. It changes when the lease was revoked
+// and a new one begins.
+func (k *Keeper) Name() string { return fmt.Sprintf("%s#%d", k.base, k.started) }
+
+func (k *Keeper) now() time.Time { return time.Now().Add(k.skew) }
+
+// Margin is by how much any two clocks may differ.
+func (k *Keeper) Margin() time.Duration { return k.margin }
+
+// Owned lists the slots that this node owns and has not sealed.
+func (k *Keeper) Owned() []int {
+	var list []int
+	for n, s := range k.owned {
+		if !s.sealed {
+			list = append(list, n)
+		}
+	}
+	sort.Ints(list)
+	return list
+}
+
+// Released tells whether a leaving node has nothing left to hand over.
+func (k *Keeper) Released() bool { return k.released }
+
+// Preferred is the owner that the slot should have among the live ones.
+func Preferred(n int, live []string) string {
+	return route.Owner(fmt.Sprintf("slot/%d", n), live)
+}
+
+// Fence tells whether this node may run new requests of the slot now, and the
+// time after which no upstream may begin one.
+func (k *Keeper) Fence(n int) (fence time.Time, ok bool) {
+	s, owned := k.owned[n]
+	if !owned || s.sealed {
+		return time.Time{}, false
+	}
+	if k.fenceOff {
+		return time.Time{}, k.now().Before(k.expires.Add(-k.margin))
+	}
+	fence = k.expires.Add(-k.margin)
+	return fence, k.now().Before(fence)
+}
+
+// Since is the time from which this node knows every request of the slot.
+func (k *Keeper) Since(n int) (time.Time, bool) {
+	s, ok := k.owned[n]
+	if !ok {
+		return time.Time{}, false
+	}
+	return s.since, true
+}
+
+// Step applies one event and returns what has to be done. The slice is valid
+// until the next call.
+func (k *Keeper) Step(ev Event) []Action {
+	k.out = k.out[:0]
+	switch ev := ev.(type) {
+	case Tick:
+		k.tick(k.now(), ev.Live)
+	case Written:
+		k.leaseWritten(ev)
+	case Read:
+		k.leaseRead(ev)
+	case Revoked:
+		k.leaseRevoked(ev)
+	case SlotRead:
+		k.slotRead(ev)
+	case SlotWritten:
+		k.slotWritten(ev)
+	case Received:
+		k.received(ev)
+	case HandedOver:
+		k.handedOver(ev)
+	case Leave:
+		k.leaving = true
+	}
+	return k.out
+}
+
+func (k *Keeper) tick(now time.Time, live []string) {
+	k.renew(now)
+	if k.version == 0 {
+		return
+	}
+	if k.leaving {
+		k.handOverAll(live)
+		return
+	}
+	probes := 0
+	for n := range k.slots {
+		owner := Preferred(n, live)
+		switch s := k.owned[n]; {
+		case s != nil && owner != k.base && owner != "":
+			k.handOver(n, s, owner)
+		case s == nil && k.wants(n, owner, now) && probes < probesPerTick && k.probeSlot(n, now):
+			probes++
+		}
+	}
+}
+
+// wants tells whether this node should look at a slot: one that it should own,
+// or one that it handed over and that may not have arrived.
+func (k *Keeper) wants(n int, owner string, now time.Time) bool {
+	if owner == k.base {
+		return true
+	}
+	h, ok := k.sealed[n]
+	return ok && now.Sub(h.at) > handoverTimeout
+}
+
+// renew writes the lease when a third of it has passed.
+func (k *Keeper) renew(now time.Time) {
+	if k.writing || k.released || now.Before(k.renewAt) {
+		return
+	}
+	k.writing = true
+	k.renewAt = now.Add(k.ttl / 3)
+	k.out = append(k.out, WriteLease{Record: Record{Owner: k.Name(), Expires: now.Add(k.ttl)}, Version: k.version})
+}
+
+func (k *Keeper) leaseWritten(ev Written) {
+	k.writing = false
+	if ev.Err != nil {
+		k.renewAt = k.now().Add(k.ttl / 20)
+		k.out = append(k.out, ReadLease{Owner: k.Name()})
+		return
+	}
+	k.confirm(ev.Version, ev.Expires)
+}
+
+func (k *Keeper) confirm(version uint64, expires time.Time) {
+	if version <= k.version {
+		return
+	}
+	k.version = version
+	k.expires = expires
+}
+
+// ownRead learns what became of a write whose reply was lost. A revoked
+// lease is never renewed; a new one begins under another name, without slots.
+func (k *Keeper) ownRead(ev Read) {
+	switch {
+	case !ev.Found:
+	case ev.Record.Revoked:
+		k.begin()
+	default:
+		k.confirm(ev.Version, ev.Record.Expires)
+	}
+}
+
+// begin starts again without a lease.
+func (k *Keeper) begin() {
+	for n := range k.slots {
+		if k.owned[n] != nil {
+			k.drop(n)
+		}
+	}
+	clear(k.takes)
+	clear(k.sealed)
+	k.started++
+	k.version, k.expires, k.renewAt = 0, time.Time{}, time.Time{}
+}
+
+func (k *Keeper) drop(n int) {
+	delete(k.owned, n)
+	k.out = append(k.out, Dropped{Slot: n})
+}
+
+// probeSlot looks at a slot that this node should own.
+func (k *Keeper) probeSlot(n int, now time.Time) bool {
+	t, ok := k.takes[n]
+	if !ok {
+		t = &take{}
+		k.takes[n] = t
+	}
+	if t.busy || now.Sub(t.probedAt) < probeEvery {
+		return false
+	}
+	t.busy = true
+	t.probedAt = now
+	k.out = append(k.out, ReadSlot{Slot: n})
+	return true
+}
+
+func (k *Keeper) slotRead(ev SlotRead) {
+	t, ok := k.takes[ev.Slot]
+	if !ok {
+		return
+	}
+	t.busy = false
+	if ev.Err != nil || k.leaving || k.version == 0 {
+		return
+	}
+	t.version, t.owner = ev.Version, ev.Record.Owner
+	switch {
+	case !ev.Found:
+		k.takeSlot(ev.Slot, t, k.now())
+	case ev.Record.Owner == k.Name() && k.sealed[ev.Slot].version >= ev.Version:
+		k.takeSlot(ev.Slot, t, k.now())
+	case t.handed.version != 0 && t.handed.version == ev.Version:
+		k.takeSlot(ev.Slot, t, t.handed.since)
+	case ev.Record.Owner == k.Name():
+		k.gain(ev.Slot, ev.Record.Since, ev.Version)
+	default:
+		delete(k.sealed, ev.Slot)
+		t.busy = true
+		k.out = append(k.out, ReadLease{Owner: ev.Record.Owner})
+	}
+}
+
+// leaseRead decides whether the slots of another owner are free.
+func (k *Keeper) leaseRead(ev Read) {
+	if ev.Owner == k.Name() {
+		k.ownRead(ev)
+		return
+	}
+	expired := ev.Err == nil && ev.Found && k.now().After(ev.Record.Expires.Add(k.margin))
+	switch {
+	case ev.Err == nil && (!ev.Found || ev.Record.Revoked):
+		k.takeFrom(ev.Owner)
+	case expired:
+		k.out = append(k.out, RevokeLease{Owner: ev.Owner, Version: ev.Version})
+	default:
+		k.giveUp(ev.Owner)
+	}
+}
+
+func (k *Keeper) leaseRevoked(ev Revoked) {
+	if ev.Err != nil {
+		k.giveUp(ev.Owner)
+		return
+	}
+	k.takeFrom(ev.Owner)
+}
+
+func (k *Keeper) giveUp(owner string) {
+	for _, t := range k.takes {
+		if t.owner == owner {
+			t.busy = false
+		}
+	}
+}
+
+// takeFrom takes the slots that were waiting for the end of a lease. What the
+// old owner ran is not known, so the table is complete from now on only.
+func (k *Keeper) takeFrom(owner string) {
+	now := k.now()
+	for n := range k.slots {
+		t, ok := k.takes[n]
+		if ok && t.busy && t.owner == owner {
+			k.takeSlot(n, t, now)
+		}
+	}
+}
+
+func (k *Keeper) takeSlot(n int, t *take, since time.Time) {
+	t.busy = true
+	t.owner = k.Name()
+	k.out = append(k.out, WriteSlot{Slot: n, Record: SlotRecord{Owner: k.Name(), Since: since}, Version: t.version})
+}
+
+func (k *Keeper) slotWritten(ev SlotWritten) {
+	t, ok := k.takes[ev.Slot]
+	if !ok || ev.Owner != k.Name() {
+		return
+	}
+	t.busy = false
+	if ev.Err != nil {
+		t.probedAt = time.Time{}
+		return
+	}
+	k.gain(ev.Slot, ev.Since, ev.Version)
+}
+
+func (k *Keeper) gain(n int, since time.Time, version uint64) {
+	delete(k.takes, n)
+	delete(k.sealed, n)
+	if k.owned[n] != nil {
+		return
+	}
+	k.owned[n] = &slot{since: since, version: version}
+	k.out = append(k.out, Gained{Slot: n, Since: since})
+}
+
+// received takes a slot that its owner has sealed for this node.
+func (k *Keeper) received(ev Received) {
+	if k.leaving || k.version == 0 || k.owned[ev.Slot] != nil {
+		return
+	}
+	t := &take{version: ev.Version, handed: handover{version: ev.Version, since: ev.Since}}
+	k.takes[ev.Slot] = t
+	k.takeSlot(ev.Slot, t, ev.Since)
+}
+
+// handOver seals a slot. A sealed slot is never opened again by this node,
+// since the new owner may have its table.
+func (k *Keeper) handOver(n int, s *slot, to string) {
+	if s.sealed {
+		return
+	}
+	s.sealed = true
+	k.sealed[n] = handover{version: s.version, since: s.since, at: k.now()}
+	k.out = append(k.out, HandOver{Slot: n, To: to, Since: s.since, Version: s.version})
+}
+
+func (k *Keeper) handedOver(ev HandedOver) {
+	if _, ok := k.owned[ev.Slot]; ok {
+		k.drop(ev.Slot)
+	}
+}
+
+// handOverAll hands over every slot of a leaving node and then gives up its
+// lease, so that slots which nobody took are free at once.
+func (k *Keeper) handOverAll(live []string) {
+	for n := range k.slots {
+		s := k.owned[n]
+		if s == nil {
+			continue
+		}
+		to := Preferred(n, live)
+		if to == "" || to == k.base {
+			k.drop(n)
+			continue
+		}
+		k.handOver(n, s, to)
+	}
+	if len(k.owned) == 0 && !k.released && !k.writing {
+		k.released = true
+		k.out = append(k.out, RevokeLease{Owner: k.Name(), Version: k.version})
+	}
+}
--- /dev/null
+++ b/pkg/member/member.go
@@ -0,0 +1,265 @@
+package member
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+)
+
+const (
+	defaultPeriod    = 250 * time.Millisecond
+	defaultTimeout   = 150 * time.Millisecond
+	defaultSuspicion = time.Second
+	defaultHelpers   = 2
+	defaultPerSend   = 8
+	// repeats is how often a piece of news is sent for each doubling of the
+	// number of members.
+	repeats = 3
+	// reachTimeout is how long a domain may be silent before it is taken
+	// for unreachable.
+	reachTimeout = 1500 * time.Millisecond
+	// syncEvery is the least time between two full comparisons.
+	syncEvery = 2 * time.Second
+	// keepGone is how long the record of a departed member is kept.
+	keepGone = 15 * time.Minute
+)
+
+// Event is an input of Step: Tick, Received, Merged, SetReady or Leave.
+type Event interface{ event() }
+
+// Tick lets time-driven work happen. It is due every quarter of a period.
+type Tick struct{}
+
+// Received delivers a datagram.
+type Received struct{ Message Message }
+
+// Merged delivers a whole view that a peer sent.
+type Merged struct{ Records []Record }
+
+// Leave announces that this member departs.
+type Leave struct{}
+
+// SetReady changes whether this member takes requests of callers.
+type SetReady struct{ Ready bool }
+
+func (Tick) event()     {}
+func (Received) event() {}
+func (Merged) event()   {}
+func (Leave) event()    {}
+func (SetReady) event() {}
+
+// Action is an output of Step: Send, Sync, Changed or Heard.
+type Action interface{ action() }
+
+// Send tells to send one datagram.
+type Send struct {
+	Addr    string
+	Message Message
+}
+
+// Sync tells to exchange whole views with the member at the address.
+type Sync struct{ Addr string }
+
+// Changed tells that the view of a member has changed.
+type Changed struct{ Record Record }
+
+// Heard tells what a member has in force.
+type Heard struct {
+	VM       string
+	Addr     string
+	Versions Versions
+}
+
+func (Send) action()    {}
+func (Sync) action()    {}
+func (Changed) action() {}
+func (Heard) action()   {}
+
+// Tracker is one node's view. It is not safe for concurrent use.
+type Tracker struct {
+	self      Record
+	random    *rand.Rand
+	period    time.Duration
+	timeout   time.Duration
+	suspicion time.Duration
+	perSend   int
+
+	members  map[string]*entry
+	news     []*entry
+	ring     []string
+	domains  map[string]time.Time
+	remote   int
+	probe    probe
+	relayed  map[uint64]relay
+	seq      uint64
+	next     time.Time
+	synced   time.Time
+	digest   uint64
+	versions Versions
+	out      []Action
+}
+
+// entry is the view of one member.
+type entry struct {
+	record    Record
+	changedAt time.Time
+	sends     int
+}
+
+// probe is the direct probe under way.
+type probe struct {
+	target   string
+	seq      uint64
+	sentAt   time.Time
+	indirect bool
+}
+
+// relay is an indirect probe on behalf of another member.
+type relay struct {
+	addr string
+	seq  uint64
+	at   time.Time
+}
+
+// Option changes a Tracker at construction.
+type Option func(*Tracker)
+
+// WithPeriod sets how often a member is probed. The default is 250 ms.
+func WithPeriod(d time.Duration) Option { return func(t *Tracker) { t.period = d } }
+
+// WithTimeout sets how long a direct probe may take. The default is 150 ms.
+func WithTimeout(d time.Duration) Option { return func(t *Tracker) { t.timeout = d } }
+
+// WithSuspicion sets how long a suspect may contradict. The default is 1 s.
+func WithSuspicion(d time.Duration) Option { return func(t *Tracker) { t.suspicion = d } }
+
+// New returns a Tracker that knows only itself.
+func New(self Record, random *rand.Rand, opts ...Option) *Tracker {
+	t := &Tracker{
+		self:      self,
+		random:    random,
+		period:    defaultPeriod,
+		timeout:   defaultTimeout,
+		suspicion: defaultSuspicion,
+		perSend:   defaultPerSend,
+		members:   make(map[string]*entry),
+		domains:   make(map[string]time.Time),
+		relayed:   make(map[uint64]relay),
+	}
+	for _, opt := range opts {
+		opt(t)
+	}
+	t.set(self)
+	return t
+}
+
+// SetVersions sets what this member's probes report as in force.
+func (t *Tracker) SetVersions(v Versions) { t.versions = v }
+
+// Self is this member's own record.
+func (t *Tracker) Self() Record { return t.self }
+
+// Records lists the whole view in order of names.
+func (t *Tracker) Records() []Record {
+	list := make([]Record, 0, len(t.members))
+	for _, e := range t.members {
+		list = append(list, e.record)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].VM < list[j].VM })
+	return list
+}
+
+// Reachable tells whether the domain has been heard from lately.
+func (t *Tracker) Reachable(domain string) bool {
+	return domain == t.self.Domain || time.Since(t.domains[domain]) < reachTimeout
+}
+
+// Step applies one event and returns what has to be done. The slice is valid
+// until the next call.
+func (t *Tracker) Step(ev Event) []Action {
+	t.out = t.out[:0]
+	switch ev := ev.(type) {
+	case Tick:
+		t.tick(time.Now())
+	case Received:
+		t.received(ev.Message)
+	case Merged:
+		t.mergeAll(ev.Records)
+	case Leave:
+		t.self.Status, t.self.Ready = Left, false
+		t.set(t.self)
+		t.farewell()
+	case SetReady:
+		t.self.Ready = ev.Ready
+		t.assert()
+	}
+	return t.out
+}
+
+// assert makes a new epoch of this member's own record known.
+func (t *Tracker) assert() {
+	t.self.Epoch++
+	t.set(t.self)
+}
+
+// merge applies one record from another member.
+func (t *Tracker) merge(r Record) {
+	if r.VM == t.self.VM {
+		t.contradict(r)
+		return
+	}
+	old, known := t.members[r.VM]
+	if known && !r.overrides(old.record) {
+		return
+	}
+	if !known && r.Status >= Dead {
+		return
+	}
+	t.set(r)
+}
+
+func (t *Tracker) mergeAll(records []Record) {
+	for _, r := range records {
+		t.merge(r)
+	}
+}
+
+// contradict answers news that this member is not alive.
+func (t *Tracker) contradict(r Record) {
+	if r.Started != t.self.Started || t.self.Status == Left {
+		return
+	}
+	if r.Epoch > t.self.Epoch || r.Epoch == t.self.Epoch && r.Status != Alive {
+		t.self.Epoch = r.Epoch
+		t.assert()
+	}
+}
+
+// set stores a record and queues it as news.
+func (t *Tracker) set(r Record) {
+	e, known := t.members[r.VM]
+	if !known {
+		e = &entry{}
+		t.members[r.VM] = e
+		t.ring = nil
+	} else {
+		t.digest ^= e.record.sum()
+	}
+	e.record = r
+	e.changedAt = time.Now()
+	t.digest ^= r.sum()
+	if e.sends == 0 {
+		t.news = append(t.news, e)
+	}
+	e.sends = t.copies()
+	t.out = append(t.out, Changed{Record: r})
+}
+
+// copies is how often a piece of news is sent.
+func (t *Tracker) copies() int {
+	n := repeats
+	for m := len(t.members); m > 1; m /= 2 {
+		n += repeats
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/member/probe.go
@@ -0,0 +1,274 @@
+package member
+
+import (
+	"sort"
+	"time"
+)
+
+// tick sends probes, turns silence into suspicion and suspicion into death.
+func (t *Tracker) tick(now time.Time) {
+	if t.self.Status == Left {
+		return
+	}
+	t.judgeProbe(now)
+	t.judgeSuspects(now)
+	if now.Before(t.next) {
+		return
+	}
+	t.next = now.Add(t.period - t.period/10 + time.Duration(t.random.Int64N(int64(t.period/5))))
+	t.probeOwn(now)
+	t.probeRemote()
+	t.forget(now)
+}
+
+// probeOwn probes the next member of this failure domain.
+func (t *Tracker) probeOwn(now time.Time) {
+	target, ok := t.nextInRing()
+	if !ok {
+		return
+	}
+	t.seq++
+	t.probe = probe{target: target, seq: t.seq, sentAt: now}
+	t.send(t.members[target].record.Gossip, Message{Kind: Probe, Seq: t.seq})
+}
+
+// nextInRing takes members of the domain in a shuffled order, so that each is
+// probed once in every round.
+func (t *Tracker) nextInRing() (string, bool) {
+	for range 2 {
+		for len(t.ring) > 0 {
+			name := t.ring[0]
+			t.ring = t.ring[1:]
+			if e, ok := t.members[name]; ok && e.record.Status < Dead {
+				return name, true
+			}
+		}
+		t.ring = t.peers(func(r Record) bool { return r.Domain == t.self.Domain && r.Status < Dead })
+		t.random.Shuffle(len(t.ring), func(i, j int) { t.ring[i], t.ring[j] = t.ring[j], t.ring[i] })
+	}
+	return "", false
+}
+
+// peers lists other members that satisfy the condition, in order of names.
+func (t *Tracker) peers(want func(Record) bool) []string {
+	var list []string
+	for name, e := range t.members {
+		if name != t.self.VM && want(e.record) {
+			list = append(list, name)
+		}
+	}
+	sort.Strings(list)
+	return list
+}
+
+// probeRemote probes one member of one other domain in turn, and now and then
+// one that is taken for dead, so that a healed partition is noticed.
+func (t *Tracker) probeRemote() {
+	names := t.domainNames()
+	if len(names) > 0 {
+		t.remote++
+		domain := names[t.remote%len(names)]
+		t.probeOne(t.peers(func(r Record) bool { return r.Domain == domain && r.Status < Dead }))
+	}
+	if t.random.IntN(4) == 0 {
+		t.probeOne(t.peers(func(r Record) bool { return r.Status == Dead }))
+	}
+}
+
+func (t *Tracker) probeOne(candidates []string) {
+	if len(candidates) == 0 {
+		return
+	}
+	name := candidates[t.random.IntN(len(candidates))]
+	t.seq++
+	t.send(t.members[name].record.Gossip, Message{Kind: Probe, Seq: t.seq})
+}
+
+func (t *Tracker) domainNames() []string {
+	seen := map[string]bool{}
+	var names []string
+	for _, e := range t.members {
+		d := e.record.Domain
+		if d != t.self.Domain && !seen[d] {
+			seen[d] = true
+			names = append(names, d)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// judgeProbe asks others to probe a silent member, then suspects it.
+func (t *Tracker) judgeProbe(now time.Time) {
+	p := &t.probe
+	if p.target == "" {
+		return
+	}
+	switch waited := now.Sub(p.sentAt); {
+	case waited >= 3*t.timeout:
+		t.suspect(p.target)
+		p.target = ""
+	case waited >= t.timeout && !p.indirect:
+		p.indirect = true
+		t.askHelpers()
+	}
+}
+
+func (t *Tracker) askHelpers() {
+	helpers := t.peers(func(r Record) bool {
+		return r.Domain == t.self.Domain && r.Status == Alive && r.VM != t.probe.target
+	})
+	t.random.Shuffle(len(helpers), func(i, j int) { helpers[i], helpers[j] = helpers[j], helpers[i] })
+	for _, h := range helpers[:min(defaultHelpers, len(helpers))] {
+		t.send(t.members[h].record.Gossip, Message{Kind: ProbeFor, Seq: t.probe.seq, Target: t.probe.target})
+	}
+}
+
+func (t *Tracker) suspect(name string) {
+	e, ok := t.members[name]
+	if !ok || e.record.Status != Alive {
+		return
+	}
+	r := e.record
+	r.Status = Suspect
+	t.set(r)
+}
+
+// judgeSuspects declares dead the suspects of this domain that have not
+// contradicted in time.
+func (t *Tracker) judgeSuspects(now time.Time) {
+	for _, name := range t.peers(func(r Record) bool { return r.Status == Suspect && r.Domain == t.self.Domain }) {
+		e := t.members[name]
+		if now.Sub(e.changedAt) < t.suspicion {
+			continue
+		}
+		r := e.record
+		r.Status = Dead
+		t.set(r)
+	}
+}
+
+// forget drops the records of members that have long gone.
+func (t *Tracker) forget(now time.Time) {
+	for name, e := range t.members {
+		if e.record.Status >= Dead && e.sends == 0 && now.Sub(e.changedAt) > keepGone {
+			t.digest ^= e.record.sum()
+			delete(t.members, name)
+		}
+	}
+}
+
+// received answers a datagram and takes its news.
+func (t *Tracker) received(m Message) {
+	if t.self.Status == Left {
+		return
+	}
+	t.mergeAll(m.Records)
+	from, known := t.members[m.From]
+	if !known || m.From == t.self.VM {
+		return
+	}
+	t.heard(from.record)
+	t.out = append(t.out, Heard{VM: m.From, Addr: from.record.Addr, Versions: m.Versions})
+	t.compare(from.record, m.Digest)
+	switch m.Kind {
+	case Probe:
+		t.send(from.record.Gossip, Message{Kind: Ack, Seq: m.Seq})
+	case Ack:
+		t.acked(m.Seq)
+	case ProbeFor:
+		t.relayProbe(m, from.record)
+	case AckFor:
+		t.acked(m.Seq)
+	}
+}
+
+// heard notes direct evidence of life. A member taken for dead hears of it
+// in the answer and contradicts.
+func (t *Tracker) heard(r Record) {
+	t.domains[r.Domain] = time.Now()
+	if e := t.members[r.VM]; r.Status == Suspect || r.Status == Dead {
+		t.renew(e)
+	}
+}
+
+func (t *Tracker) acked(seq uint64) {
+	if t.probe.seq == seq {
+		t.probe.target = ""
+	}
+	if r, ok := t.relayed[seq]; ok {
+		delete(t.relayed, seq)
+		t.send(r.addr, Message{Kind: AckFor, Seq: r.seq})
+	}
+}
+
+func (t *Tracker) relayProbe(m Message, from Record) {
+	target, ok := t.members[m.Target]
+	if !ok {
+		return
+	}
+	for seq, r := range t.relayed {
+		if time.Since(r.at) > t.suspicion {
+			delete(t.relayed, seq)
+		}
+	}
+	t.seq++
+	t.relayed[t.seq] = relay{addr: from.Gossip, seq: m.Seq, at: time.Now()}
+	t.send(target.record.Gossip, Message{Kind: Probe, Seq: t.seq})
+}
+
+// compare asks for a full exchange when the views differ and no news explains it.
+func (t *Tracker) compare(from Record, digest uint64) {
+	if digest == t.digest || len(t.news) > 0 || time.Since(t.synced) < syncEvery {
+		return
+	}
+	t.synced = time.Now().Add(time.Duration(t.random.Int64N(int64(syncEvery))))
+	t.out = append(t.out, Sync{Addr: from.Addr})
+}
+
+// send adds the news to a message and emits it.
+func (t *Tracker) send(addr string, m Message) {
+	m.From = t.self.VM
+	m.Digest = t.digest
+	m.Versions = t.versions
+	m.Records = append(m.Records, t.self)
+	m.Records = append(m.Records, t.takeNews()...)
+	t.out = append(t.out, Send{Addr: addr, Message: m})
+}
+
+// takeNews picks the news that was sent least often.
+func (t *Tracker) takeNews() []Record {
+	sort.SliceStable(t.news, func(i, j int) bool { return t.news[i].sends > t.news[j].sends })
+	var list []Record
+	for _, e := range t.news[:min(t.perSend, len(t.news))] {
+		list = append(list, e.record)
+		e.sends--
+	}
+	kept := t.news[:0]
+	for _, e := range t.news {
+		if e.sends > 0 {
+			kept = append(kept, e)
+		}
+	}
+	t.news = kept
+	return list
+}
+
+// renew queues a record as news again.
+func (t *Tracker) renew(e *entry) {
+	if e.sends == 0 {
+		t.news = append(t.news, e)
+		e.sends = t.copies()
+	}
+}
+
+// farewell tells a few members of every domain at once that this one leaves.
+func (t *Tracker) farewell() {
+	all := t.peers(func(r Record) bool { return r.Status < Dead })
+	t.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	const tell = 6
+	for _, name := range all[:min(tell, len(all))] {
+		t.seq++
+		t.send(t.members[name].record.Gossip, Message{Kind: Probe, Seq: t.seq})
+	}
+}
--- /dev/null
+++ b/pkg/route/route.go
@@ -0,0 +1,222 @@
+// Package route chooses the replica for each sub-request from the node's own
+// evidence: what it has in flight, how long answers took, how long the queue
+// was when the last answer left, and which upstreams it must avoid.
+//
+// Statistics are atomics in an immutable table that is replaced when the
+// catalogue changes, so a choice takes no lock and its cost does not grow with
+// the fleet:
+//
+//	t := route.New(rand)
+//	t.Update(catalogue)
+//	u, ok := t.Pick(shard, excluded)
+package route
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"geraniumstep.org/geraniumstep/pkg/layout"
+)
+
+const (
+	initialLatency = 10 * time.Millisecond
+	latencySmooth  = 0.1
+	// waitHalfLife is how fast a reported queueing time loses its weight.
+	waitHalfLife = 200 * time.Millisecond
+	// penaltyTime is how long an upstream that failed is avoided.
+	penaltyTime = time.Second
+	// leavingTime is how long a drain is believed without being renewed.
+	leavingTime = 2 * time.Second
+	// explore is the chance of a choice that ignores latency, so that an
+	// upstream that was slow is tried again.
+	explore = 0.01
+)
+
+// Table holds what a node knows of every upstream. It is safe for concurrent use.
+type Table struct {
+	stats  atomic.Pointer[map[string]*Stats]
+	random *lockedRand
+	policy Policy
+}
+
+// Policy names a way to choose among replicas.
+type Policy uint8
+
+// The policies.
+const (
+	// PolicyLeastCost compares in-flight work and latency of two replicas.
+	PolicyLeastCost Policy = iota
+	// PolicyRandom takes any replica; experiments use it as baseline.
+	PolicyRandom
+)
+
+// Option changes a Table at construction.
+type Option func(*Table)
+
+// WithPolicy sets how replicas are chosen. The default is PolicyLeastCost.
+func WithPolicy(p Policy) Option { return func(t *Table) { t.policy = p } }
+
+// Stats is the evidence about one upstream.
+type Stats struct {
+	inFlight atomic.Int64
+	latency  atomic.Int64
+	wait     atomic.Int64
+	waitAt   atomic.Int64
+	avoid    atomic.Int64
+	leaving  atomic.Int64
+}
+
+// New returns an empty Table that draws from the given source.
+func New(random *rand.Rand, opts ...Option) *Table {
+	t := &Table{random: &lockedRand{rand: random}}
+	for _, opt := range opts {
+		opt(t)
+	}
+	empty := map[string]*Stats{}
+	t.stats.Store(&empty)
+	return t
+}
+
+// Update makes the table know the upstreams of a catalogue. Evidence about
+// upstreams that stay is kept.
+func (t *Table) Update(c *layout.Catalogue) {
+	old := *t.stats.Load()
+	next := make(map[string]*Stats, len(old))
+	for _, u := range c.Upstreams() {
+		s, ok := old[u.ID()]
+		if !ok {
+			s = newStats()
+		}
+		next[u.ID()] = s
+	}
+	t.stats.Store(&next)
+}
+
+func newStats() *Stats {
+	s := &Stats{}
+	s.latency.Store(int64(initialLatency))
+	return s
+}
+
+// Stats finds the evidence about one upstream; it is nil for an unknown one.
+func (t *Table) Stats(id string) *Stats { return (*t.stats.Load())[id] }
+
+// Pick chooses a replica of the shard that is not excluded. Upstreams that are
+// leaving or have just failed come last. It reports false when every replica
+// is excluded.
+func (t *Table) Pick(replicas []*layout.Upstream, excluded []string) (*layout.Upstream, bool) {
+	stats := *t.stats.Load()
+	now := time.Now()
+	random := t.policy == PolicyRandom || t.random.float() < explore
+	var (
+		best     *layout.Upstream
+		bestCost = math.Inf(1)
+	)
+	first := t.random.intN(len(replicas))
+	for i := range replicas {
+		u := replicas[(first+i)%len(replicas)]
+		if contains(excluded, u.ID()) {
+			continue
+		}
+		cost := stats[u.ID()].cost(now, random)
+		if best == nil || cost < bestCost {
+			best, bestCost = u, cost
+		}
+	}
+	return best, best != nil
+}
+
+func contains(list []string, id string) bool {
+	for _, s := range list {
+		if s == id {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	costAvoid   = 1e6
+	costLeaving = 1e9
+)
+
+// cost estimates the time to an answer in seconds.
+func (s *Stats) cost(now time.Time, random bool) float64 {
+	if s == nil {
+		return costLeaving
+	}
+	cost := 0.0
+	if !random {
+		latency := time.Duration(s.latency.Load()).Seconds()
+		cost = latency*float64(1+s.inFlight.Load()) + s.agedWait(now).Seconds()
+	}
+	if now.UnixNano() < s.avoid.Load() {
+		cost += costAvoid
+	}
+	if now.UnixNano() < s.leaving.Load() {
+		cost += costLeaving
+	}
+	return cost
+}
+
+func (s *Stats) agedWait(now time.Time) time.Duration {
+	age := time.Duration(now.UnixNano() - s.waitAt.Load())
+	return time.Duration(float64(s.wait.Load()) * math.Exp2(-age.Seconds()/waitHalfLife.Seconds()))
+}
+
+// Begin counts a sub-request sent.
+func (s *Stats) Begin() { s.inFlight.Add(1) }
+
+// End counts a sub-request answered, cancelled or failed.
+func (s *Stats) End() { s.inFlight.Add(-1) }
+
+// InFlight is the number of this node's sub-requests on the upstream.
+func (s *Stats) InFlight() int64 { return s.inFlight.Load() }
+
+// Served records the service time of an answer and the queueing time that the
+// gate reported with it. A cancelled sub-request that took longer than the
+// average counts too, else a slow replica that always loses its race would
+// never look slow.
+func (s *Stats) Served(service, wait time.Duration) {
+	old := s.latency.Load()
+	s.latency.Store(old + int64(latencySmooth*float64(int64(service)-old)))
+	s.wait.Store(int64(wait))
+	s.waitAt.Store(time.Now().UnixNano())
+}
+
+// Outlived records that a sub-request was given up after the given time.
+func (s *Stats) Outlived(after time.Duration) {
+	if int64(after) > s.latency.Load() {
+		s.Served(after, 0)
+	}
+}
+
+// Failed makes the upstream a last choice for a while.
+func (s *Stats) Failed() { s.avoid.Store(time.Now().Add(penaltyTime).UnixNano()) }
+
+// Drains makes a draining upstream the very last choice for a while.
+func (s *Stats) Drains() { s.leaving.Store(time.Now().Add(leavingTime).UnixNano()) }
+
+// Latency is the moving average of service times.
+func (s *Stats) Latency() time.Duration { return time.Duration(s.latency.Load()) }
+
+// lockedRand shares one seeded source between goroutines.
+type lockedRand struct {
+	mu   sync.Mutex
+	rand *rand.Rand
+}
+
+func (r *lockedRand) float() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rand.Float64()
+}
+
+func (r *lockedRand) intN(n int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rand.IntN(n)
+}
--- /dev/null
+++ b/pkg/search/faults.go
@@ -0,0 +1,189 @@
+package search
+
+import (
+	"time"
+
+	"geraniumstep.org/geraniumstep/pkg/poison"
+)
+
+// failed handles an attempt that ended without a usable reply.
+func (s *Search) failed(ev Failed) {
+	i := int(ev.Attempt / attemptsPerShard)
+	if i >= len(s.shards) {
+		return
+	}
+	sh := &s.shards[i]
+	upstream, ok := sh.remove(ev.Attempt)
+	if !ok || sh.state != shardOpen {
+		return
+	}
+	if !ev.Cause.notRun() {
+		s.ran = true
+	}
+	s.retryIn = max(s.retryIn, ev.RetryAfter)
+	if ev.Cause == CauseRefused || ev.Cause == CauseShed {
+		s.refused++
+	}
+	if ev.Cause == CauseQuarantined || s.verdict() == poison.Quarantined {
+		s.finish(KindQuarantined)
+		return
+	}
+	sh.excluded = append(sh.excluded, upstream)
+	if len(sh.live) > 0 {
+		return
+	}
+	s.recover(i, ev.Cause)
+}
+
+// recover decides what follows the last attempt in flight of a shard: another
+// replica now, the same replicas after a delay, a newer snapshot, or the loss
+// of the shard.
+func (s *Search) recover(i int, cause Cause) {
+	sh := &s.shards[i]
+	if cause == CauseVersionGone && len(sh.excluded) >= len(sh.replicas) {
+		s.stale = true
+		return
+	}
+	if s.mayRetryNow(cause) && s.send(i, false) {
+		return
+	}
+	delay := s.deps.Backoff(sh.retries)
+	sh.retries++
+	if time.Now().Add(delay).Before(s.plan.Deadline) && sh.retries < attemptsPerShard {
+		sh.excluded = sh.excluded[:0]
+		sh.retryAt = time.Now().Add(delay)
+		return
+	}
+	s.lose(i)
+}
+
+// mayRetryNow tells whether another replica may be tried at once. What
+// provably did not run and says nothing of load costs no budget.
+func (s *Search) mayRetryNow(cause Cause) bool {
+	switch cause {
+	case CauseDraining, CauseVersionGone:
+		return true
+	}
+	return s.deps.TakeRetry()
+}
+
+func (s *Search) lose(i int) {
+	sh := &s.shards[i]
+	if sh.state == shardLost {
+		return
+	}
+	sh.state = shardLost
+	s.open--
+	if i == s.canary {
+		s.sendRest()
+	}
+}
+
+// tick sends due hedges and retries and enforces the deadlines.
+func (s *Search) tick(now time.Time) {
+	if !now.Before(s.plan.Deadline) {
+		s.expire()
+		return
+	}
+	for i := range s.shards {
+		sh := &s.shards[i]
+		if sh.state != shardOpen {
+			continue
+		}
+		switch {
+		case s.retryDue(sh, now):
+			s.retry(i)
+		case s.hedgeDue(sh, now):
+			s.hedge(i)
+		}
+	}
+}
+
+func (s *Search) retryDue(sh *shard, now time.Time) bool {
+	return len(sh.live) == 0 && !sh.retryAt.IsZero() && !now.Before(sh.retryAt)
+}
+
+func (s *Search) retry(i int) {
+	if s.deps.TakeRetry() && s.send(i, false) {
+		return
+	}
+	sh := &s.shards[i]
+	sh.retryAt = time.Now().Add(s.deps.Backoff(sh.retries))
+	sh.retries++
+	if sh.retries >= attemptsPerShard {
+		s.lose(i)
+	}
+}
+
+func (s *Search) hedgeDue(sh *shard, now time.Time) bool {
+	if len(sh.live) != 1 || sh.live[0].hedged {
+		return false
+	}
+	return now.Sub(sh.live[0].sentAt) >= s.deps.HedgeDelay(sh.target.Archive)
+}
+
+// hedge sends a second attempt. A shard without another replica, or a node
+// without budget, waits for the first.
+func (s *Search) hedge(i int) {
+	sh := &s.shards[i]
+	sh.live[0].hedged = true
+	if len(sh.replicas)-len(sh.excluded) < 2 || s.verdict() == poison.Suspect || !s.deps.TakeHedge() {
+		return
+	}
+	s.send(i, true)
+}
+
+// softExpired tells whether the latency target has passed with enough coverage.
+func (s *Search) softExpired(now time.Time) bool {
+	if s.plan.SoftDeadline.IsZero() || now.Before(s.plan.SoftDeadline) {
+		return false
+	}
+	return s.answered > 0 && float64(s.answered) >= s.plan.MinCoverage*float64(len(s.shards))
+}
+
+// expire gives up the shards that have not answered.
+func (s *Search) expire() {
+	s.canary = -1
+	for i := range s.shards {
+		sh := &s.shards[i]
+		if sh.state == shardAnswered {
+			continue
+		}
+		if len(sh.live) > 0 {
+			s.ran = true
+		}
+		for _, a := range sh.live {
+			s.out = append(s.out, Cancel{Attempt: a.number})
+		}
+		sh.live = nil
+		s.lose(i)
+	}
+}
+
+// Wake is when the next Tick is due.
+func (s *Search) Wake() time.Time {
+	wake := s.plan.Deadline
+	if soft := s.plan.SoftDeadline; !soft.IsZero() && soft.Before(wake) && time.Now().Before(soft) {
+		wake = soft
+	}
+	for i := range s.shards {
+		sh := &s.shards[i]
+		if sh.state != shardOpen {
+			continue
+		}
+		if len(sh.live) == 1 && !sh.live[0].hedged {
+			wake = earlier(wake, sh.live[0].sentAt.Add(s.deps.HedgeDelay(sh.target.Archive)))
+		}
+		if len(sh.live) == 0 && !sh.retryAt.IsZero() {
+			wake = earlier(wake, sh.retryAt)
+		}
+	}
+	return wake
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
