member: give a domain that has just become known time to be heard from

Cause: a node that had just started took every other failure domain for cut off until its first datagram came, so searches lost shards and retried for 0.5 s. Change: the time a domain becomes known counts as hearing from it.

--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -169,7 +169,8 @@
 	return list
 }
 
-// Reachable tells whether the domain has been heard from lately.
+// Reachable tells whether the domain has been heard from lately. One that has
+// just become known is given the same time to be heard from.
 func (t *Tracker) Reachable(domain string) bool {
 	return domain == t.self.Domain || time.Since(t.domains[domain]) < reachTimeout
 }
@@ -245,6 +246,9 @@
 	} else {
 		t.digest ^= e.record.sum()
 	}
+	if _, met := t.domains[r.Domain]; !met {
+		t.domains[r.Domain] = time.Now()
+	}
 	e.record = r
 	e.changedAt = time.Now()
 	t.digest ^= r.sum()
