lease: count only keys made after the margin as new to a new owner

Change: a slot that is taken without its table is complete for keys made after now plus the clock margin. The model runs real keepers and tables against a store that loses, delays and repeats. Without the lease's end, or without the rule on a key's birth, the search finds a double run; without the stamp that the upstream enforces it finds none, so the stamp is a second line.

--- a/pkg/dedup/table.go
+++ b/pkg/dedup/table.go
@@ -60,6 +60,7 @@
 type Table struct {
 	window  time.Duration
 	margin  time.Duration
+	skew    time.Duration
 	entries map[string]*entry
 	begins  int
 }
@@ -79,6 +80,10 @@
 // WithMargin sets by how much any two clocks may differ. The default is 500 ms.
 func WithMargin(d time.Duration) Option { return func(t *Table) { t.margin = d } }
 
+// WithSkew makes the node's clock differ from the runtime's, as clocks of VMs
+// do. It is for tests.
+func WithSkew(d time.Duration) Option { return func(t *Table) { t.skew = d } }
+
 // NewTable returns an empty Table.
 func NewTable(opts ...Option) *Table {
 	t := &Table{window: defaultWindow, margin: defaultMargin, entries: make(map[string]*entry)}
@@ -103,7 +108,7 @@
 	if e, ok := t.entries[k.text]; ok {
 		return e.decide()
 	}
-	now := time.Now()
+	now := time.Now().Add(t.skew)
 	complete := k.born.After(since)
 	switch {
 	case k.born.Before(now.Add(-t.window)):
--- a/pkg/lease/keeper.go
+++ b/pkg/lease/keeper.go
@@ -68,8 +68,8 @@
 // agree. The default is 64.
 func WithSlots(n int) Option { return func(k *Keeper) { k.slots = n } }
 
-// WithoutFence makes Fence return the zero time, which shows in tests what the
-// fence prevents.
+// WithoutFence makes Fence ignore the end of the lease, which shows in tests
+// what the fence prevents.
 func WithoutFence() Option { return func(k *Keeper) { k.fenceOff = true } }
 
 // WithSkew makes the node's clock differ from the runtime's, as clocks of VMs
@@ -131,7 +131,7 @@
 		return time.Time{}, false
 	}
 	if k.fenceOff {
-		return time.Time{}, k.now().Before(k.expires.Add(-k.margin))
+		return time.Time{}, true
 	}
 	fence = k.expires.Add(-k.margin)
 	return fence, k.now().Before(fence)
@@ -290,9 +290,9 @@
 	t.version, t.owner = ev.Version, ev.Record.Owner
 	switch {
 	case !ev.Found:
-		k.takeSlot(ev.Slot, t, k.now())
+		k.takeSlot(ev.Slot, t, k.newKeys())
 	case ev.Record.Owner == k.Name() && k.sealed[ev.Slot].version >= ev.Version:
-		k.takeSlot(ev.Slot, t, k.now())
+		k.takeSlot(ev.Slot, t, k.newKeys())
 	case t.handed.version != 0 && t.handed.version == ev.Version:
 		k.takeSlot(ev.Slot, t, t.handed.since)
 	case ev.Record.Owner == k.Name():
@@ -340,15 +340,19 @@
 // takeFrom takes the slots that were waiting for the end of a lease. What the
 // old owner ran is not known, so the table is complete from now on only.
 func (k *Keeper) takeFrom(owner string) {
-	now := k.now()
+	since := k.newKeys()
 	for n := range k.slots {
 		t, ok := k.takes[n]
 		if ok && t.busy && t.owner == owner {
-			k.takeSlot(n, t, now)
+			k.takeSlot(n, t, since)
 		}
 	}
 }
 
+// newKeys is the time after which a key was certainly made from now on: a key
+// that was run before may be from a clock that is ahead by the margin.
+func (k *Keeper) newKeys() time.Time { return k.now().Add(k.margin) }
+
 func (k *Keeper) takeSlot(n int, t *take, since time.Time) {
 	t.busy = true
 	t.owner = k.Name()
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -6,10 +6,11 @@
 // owner's lease has expired by more than the clock margin and has been revoked
 // by a conditional write, or when its owner hands it over.
 //
-// The owner stamps every request with a fence: a time that lies before the end
-// of its lease less the clock margin, after which the upstream must not begin
-// the request. The check before sending is only an early exit; it is the fence
-// that keeps a paused owner's request from running beside that of the next.
+// An owner runs a new key only before the fence, the end of its lease less the
+// clock margin, and a new owner only keys made after it took over. Together the
+// two rules keep a paused owner's request from running beside that of the next.
+// The fence also goes with the request as a deadline after which the upstream
+// must not begin it.
 //
 // A Keeper is a state machine. It takes events, among them the results of
 // store calls, and returns the calls to make:
