--- a/internal/demo/vmfaults.go
+++ b/internal/demo/vmfaults.go
@@ -158,9 +158,13 @@
 }
 
 // reindex puts a new version of every archive but that of holds into service.
-// The version before is withdrawn a moment later, the one before that at once.
+// The version before is withdrawn a moment later, and of a repartition so soon
+// that searches in flight still need it.
 func (f *fleet) reindex(check *checker, repartition bool) {
-	const overlap = 300 * time.Millisecond
+	overlap := 300 * time.Millisecond
+	if repartition {
+		overlap = 20 * time.Millisecond
+	}
 	f.mu.Lock()
 	next := layout.Spec{Revision: f.spec.Revision + 1, Upstreams: f.spec.Upstreams}
 	old := make(map[string]uint64)
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -107,6 +107,7 @@
 	retry := time.Duration(seconds) * time.Second
 	switch res.Header.Get(wire.HeaderRefusal) {
 	case wire.RefusalDraining:
+		l.byHealth.Store(false)
 		l.drainSign()
 		return inner.SubReply{Cause: search.CauseDraining, Unsent: true}, gate.OutcomeCanceled
 	case wire.RefusalShed:
--- a/internal/front/health.go
+++ b/internal/front/health.go
@@ -13,22 +13,38 @@
 	"geraniumstep.org/geraniumstep/pkg/poison"
 )
 
+// believedShare is the part of a front's upstreams, as one in so many, of which
+// the health endpoints are believed when they report a drain.
+const believedShare = 5
+
 // checkHealth asks the upstream for its health. The endpoint may lag or lie:
 // its silence or failure alone never takes an upstream out, and a new
 // incarnation is what ends a drain or an outage.
 func (l *line) checkHealth(ctx context.Context) error {
 	h, err := l.askHealth(ctx)
-	switch {
-	case err != nil:
-	case l.saw(h.Started):
-	case h.State == wire.StateDraining && l.drainBelieved():
+	if err != nil || l.saw(h.Started) {
+		return nil
+	}
+	l.claims.Store(h.State == wire.StateDraining)
+	switch believed := l.claims.Load() && l.front.claimsBelieved(); {
+	case believed && l.life.State() == life.UpstreamServing:
+		l.byHealth.Store(true)
 		l.drainSign()
-	case h.State == wire.StateOK && l.life.State() == life.UpstreamDown:
+	case !believed && l.byHealth.Load():
+		l.undrain()
+	case !l.claims.Load() && l.life.State() == life.UpstreamDown:
 		l.fire(life.SignUp)
 	}
 	return nil
 }
 
+// undrain takes back a drain that rested on the health endpoint alone.
+func (l *line) undrain() {
+	l.byHealth.Store(false)
+	l.front.drains.Delete(l.upstream.ID())
+	l.fire(life.SignUp)
+}
+
 func (l *line) askHealth(ctx context.Context) (wire.Health, error) {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
@@ -49,19 +65,19 @@
 	return h, json.Unmarshal(data, &h)
 }
 
-// drainBelieved tells whether a drain that only the health endpoint reports is
-// to be believed: not while most of this front's upstreams say the same, which
+// claimsBelieved tells whether a drain that only the health endpoint reports is
+// to be believed: not while many of this front's upstreams say the same, which
 // is rather a fault of the endpoints.
-func (l *line) drainBelieved() bool {
-	lines, draining := 0, 0
-	l.front.lines.Range(func(_, v any) bool {
+func (f *Front) claimsBelieved() bool {
+	lines, claims := 0, 0
+	f.lines.Range(func(_, v any) bool {
 		lines++
-		if v.(*line).life.State() == life.UpstreamDraining {
-			draining++
+		if v.(*line).claims.Load() {
+			claims++
 		}
 		return true
 	})
-	return 2*(draining+1) <= max(lines, 2)
+	return claims <= max(lines/believedShare, 1)
 }
 
 // saw records the incarnation that an answer names and tells whether it is a
--- a/internal/front/line.go
+++ b/internal/front/line.go
@@ -28,6 +28,10 @@
 	life      *life.Upstream
 	gate      *gate.Shared
 	used      atomic.Int64
+	// claims tells that the health endpoint reports a drain, and byHealth
+	// that the present drain rests on that alone.
+	claims   atomic.Bool
+	byHealth atomic.Bool
 
 	mu      sync.Mutex
 	running map[uint64]poison.Fingerprint
@@ -83,6 +87,7 @@
 	reply.Wait = begun.Sub(arrived)
 	reply.Service = time.Since(begun)
 	l.gate.Release(ticket, reply.Service, outcome)
+	reply.Pace, reply.Ahead = l.gate.Outlook(sub.Priority)
 	return reply
 }
 
--- a/internal/inner/inner.go
+++ b/internal/inner/inner.go
@@ -63,8 +63,13 @@
 	Unsent     bool          `msgpack:"u"`
 	RetryAfter time.Duration `msgpack:"ra"`
 	Reply      search.Reply  `msgpack:"r"`
-	Wait       time.Duration `msgpack:"w"`
-	Service    time.Duration `msgpack:"s"`
+	// Wait is how long the sub-request queued and Service how long it ran.
+	Wait    time.Duration `msgpack:"w"`
+	Service time.Duration `msgpack:"s"`
+	// Pace is the upstream's usual service time and Ahead how long the next
+	// sub-request of the same priority would queue, as its front sees them.
+	Pace  time.Duration `msgpack:"p"`
+	Ahead time.Duration `msgpack:"a"`
 }
 
 // Cancel names a sub-request whose result is no longer wanted.
--- a/internal/node/admit.go
+++ b/internal/node/admit.go
@@ -13,7 +13,7 @@
 const (
 	// firstLimit is how many searches of one priority a node runs at once
 	// until it has learned more.
-	firstLimit = 32
+	firstLimit = 16
 	// admitDecrease is how far a sign of overload lowers that number.
 	admitDecrease = 0.9
 	// overloadMemory is how long a sign of overload keeps hedges off.
@@ -27,7 +27,7 @@
 // what the fleet cannot serve in time is refused before any upstream saw it.
 type admission struct {
 	gates    [prio.Count]*gate.Shared
-	overload [prio.Count]atomic.Int64
+	last     [prio.Count]atomic.Int64
 	nextID   atomic.Uint64
 	bytes    atomic.Int64
 	maxBytes int64
@@ -41,6 +41,7 @@
 			gate.WithInitial(min(firstLimit, l.InFlight)),
 			gate.WithQueue(l.Queue),
 			gate.WithDecrease(admitDecrease),
+			gate.WithStrict(),
 		)
 	}
 	return a
@@ -65,20 +66,25 @@
 	return &entry{admission: a, ticket: t, begun: time.Now()}, gate.Refuse{}, true
 }
 
-// leave ends a search. Overloaded tells that it queued too long at upstreams.
+// leave ends a search. One that met overload does not raise the limit.
 func (e *entry) leave(overloaded bool) {
 	p := e.ticket.Priority()
 	outcome := gate.OutcomeServed
 	if overloaded {
-		outcome = gate.OutcomeShed
-		e.admission.overload[p].Store(time.Now().UnixNano())
+		outcome = gate.OutcomeCanceled
 	}
 	e.admission.gates[p].Release(e.ticket, time.Since(e.begun), outcome)
 }
 
+// overload lowers the number of searches of the priority.
+func (a *admission) overload(p prio.Priority) {
+	a.last[p].Store(time.Now().UnixNano())
+	a.gates[p].Apply(gate.Overload{})
+}
+
 // overloaded tells whether searches of the priority queued too long just now.
 func (a *admission) overloaded(p prio.Priority) bool {
-	return time.Now().UnixNano()-a.overload[p].Load() < int64(overloadMemory)
+	return time.Now().UnixNano()-a.last[p].Load() < int64(overloadMemory)
 }
 
 // reserve takes memory for a request's body and results.
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"geraniumstep.org/geraniumstep/internal/inner"
@@ -11,7 +12,11 @@
 	"geraniumstep.org/geraniumstep/pkg/search"
 )
 
-const cancelTimeout = 500 * time.Millisecond
+const (
+	cancelTimeout = 500 * time.Millisecond
+	// shunTime is how long a node whose process is gone is routed around.
+	shunTime = 3 * time.Second
+)
 
 // dispatch sends a sub-request by way of the node that fronts its upstream.
 func (n *Node) dispatch(ctx context.Context, sub *inner.Sub, u *layout.Upstream) inner.SubReply {
@@ -42,11 +47,31 @@
 		n.cancelRemote(addr, sub)
 		return inner.SubReply{Cause: search.CauseTimeout, Unsent: errors.Is(err, inner.ErrUnsent)}
 	case errors.Is(err, inner.ErrUnsent):
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			n.shun(addr)
+		}
 		return inner.SubReply{Cause: search.CauseBroken, Unsent: true}
 	}
 	return inner.SubReply{Cause: search.CauseBroken}
 }
 
+// shun routes around a node whose process is gone, until the members agree.
+func (n *Node) shun(addr string) {
+	if _, known := n.shunned.Swap(addr, time.Now()); !known {
+		n.rebuildView()
+	}
+}
+
+// shuns tells whether a node's address was found closed not long ago.
+func (n *Node) shuns(addr string) bool {
+	at, ok := n.shunned.Load(addr)
+	if ok && time.Since(at.(time.Time)) > shunTime {
+		n.shunned.Delete(addr)
+		return false
+	}
+	return ok
+}
+
 func (n *Node) cancelRemote(addr string, sub *inner.Sub) {
 	n.goServe(func() {
 		ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,6 +72,7 @@
 	members   *members
 	holds     *holds
 	remote    remoteRuns
+	shunned   sync.Map // inner address to time.Time
 	sync      syncer
 	registry  *prometheus.Registry
 	metrics   *metrics
--- a/internal/node/search.go
+++ b/internal/node/search.go
@@ -12,6 +12,7 @@
 	"geraniumstep.org/geraniumstep/pkg/config"
 	"geraniumstep.org/geraniumstep/pkg/layout"
 	"geraniumstep.org/geraniumstep/pkg/poison"
+	"geraniumstep.org/geraniumstep/pkg/prio"
 	"geraniumstep.org/geraniumstep/pkg/quant"
 	"geraniumstep.org/geraniumstep/pkg/route"
 	"geraniumstep.org/geraniumstep/pkg/search"
@@ -23,6 +24,12 @@
 	// backoffFirst and backoffMost bound the delay before a retry.
 	backoffFirst = 10 * time.Millisecond
 	backoffMost  = 250 * time.Millisecond
+	// queuedShare is the part of the sub-requests, as one in so many, that
+	// must have queued too long for the search to count as overloaded.
+	queuedShare = 4
+	// allShards as the least coverage makes a search wait for every shard
+	// that can be reached.
+	allShards = 1
 	// rounds is how many snapshots a search may be tried on.
 	rounds = 2
 )
@@ -58,17 +65,20 @@
 		return nil, refusedAtDoor(refusal)
 	}
 	var run *searchRun
+	ran := false
 	for range rounds {
 		run = n.newRun(r)
 		run.execute(ctx)
+		ran = ran || run.result.Ran
 		if run.result.Kind != search.KindStale {
 			break
 		}
 		n.metrics.restarts.Inc()
 		n.sync.catalogueNow(ctx)
 	}
-	e.leave(run.overloaded())
+	e.leave(run.overloaded)
 	n.metrics.observe(r.workspace.Priority(), time.Since(r.arrived), run.result)
+	run.result.Ran = ran
 	return run.answer()
 }
 
@@ -100,6 +110,9 @@
 	events    chan search.Event
 	cancels   map[uint32]context.CancelFunc
 	result    search.Result
+	// queued counts the sub-requests that queued too long or were refused.
+	queued     int
+	overloaded bool
 }
 
 func (n *Node) newRun(r *resolved) *searchRun {
@@ -111,16 +124,18 @@
 		cancels:   make(map[uint32]context.CancelFunc),
 	}
 	plan := search.Plan{
-		Request:     run.request,
-		Catalogue:   run.catalogue,
-		Archives:    r.template.Archives(),
-		Merge:       r.template.Merge(),
-		Limit:       r.template.Limit(),
-		Deadline:    r.deadline,
-		Fingerprint: r.print,
+		Request:      run.request,
+		Catalogue:    run.catalogue,
+		Archives:     r.template.Archives(),
+		Merge:        r.template.Merge(),
+		Limit:        r.template.Limit(),
+		Deadline:     r.deadline,
+		SoftDeadline: r.soft(),
+		MinCoverage:  allShards,
+		Fingerprint:  r.print,
 	}
 	if r.workspace.Prefer() == config.PreferLatency {
-		plan.SoftDeadline, plan.MinCoverage = r.soft(), r.workspace.Coverage()
+		plan.MinCoverage = r.workspace.Coverage()
 	}
 	run.machine = search.New(plan, run)
 	run.events = make(chan search.Event, run.machine.Shards()+1)
@@ -141,6 +156,7 @@
 	defer timer.Stop()
 	var ev search.Event = search.Start{}
 	for !run.apply(ctx, ev) {
+		run.noteLoad(ev)
 		timer.Reset(time.Until(run.machine.Wake()))
 		select {
 		case ev = <-run.events:
@@ -219,9 +235,9 @@
 	reply := run.node.dispatch(ctx, sub, u)
 	took := time.Since(begun)
 	if reply.OK {
-		run.node.window(sub.Archive).Record(took)
+		run.node.window(sub.Archive, sub.Priority).Record(took)
 		if stats != nil {
-			stats.Served(reply.Service, reply.Wait)
+			stats.Served(reply.Pace, reply.Ahead, sub.Priority)
 		}
 		return search.Replied{Attempt: sub.Attempt, Reply: reply.Reply, Wait: reply.Wait}
 	}
@@ -229,7 +245,7 @@
 		run.blame(ctx, reply.Cause, stats, took)
 	}
 	if reply.Unsent && reply.Cause == search.CauseBroken {
-		reply.Cause = search.CauseDraining
+		reply.Cause = search.CauseUnreachable
 	}
 	return search.Failed{Attempt: sub.Attempt, Cause: reply.Cause, RetryAfter: reply.RetryAfter}
 }
@@ -246,9 +262,23 @@
 	}
 }
 
-// overloaded tells whether the search queued too long at upstreams.
-func (run *searchRun) overloaded() bool {
-	return run.result.Refused > 0 || run.result.Wait > run.resolved.workspace.Target()/waitShare
+// noteLoad tells the admission as soon as a part of the sub-requests has queued
+// too long, which may be long before the search ends.
+func (run *searchRun) noteLoad(ev search.Event) {
+	switch ev := ev.(type) {
+	case search.Replied:
+		if ev.Wait > run.resolved.workspace.Target()/waitShare {
+			run.queued++
+		}
+	case search.Failed:
+		if ev.Cause == search.CauseRefused || ev.Cause == search.CauseShed {
+			run.queued++
+		}
+	}
+	if !run.overloaded && run.queued*queuedShare > run.machine.Shards() {
+		run.overloaded = true
+		run.node.admit.overload(run.resolved.workspace.Priority())
+	}
 }
 
 // answer turns the result into what the caller gets.
@@ -260,7 +290,9 @@
 	case search.KindQuarantined:
 		return nil, quarantined()
 	case search.KindNotRun:
-		return nil, notRun("no upstream could take the request in time; try again later", res.RetryAfter)
+		if !res.Ran {
+			return nil, notRun("no upstream could take the request in time; try again later", res.RetryAfter)
+		}
 	case search.KindStale:
 		if !res.Ran {
 			return nil, notRun("archives were replaced faster than the search could start; try again", 0)
@@ -287,7 +319,7 @@
 // Pick, HedgeDelay, TakeHedge, TakeRetry, Backoff, Judge and Succeeded
 // implement search.Deps.
 func (run *searchRun) Pick(replicas []*layout.Upstream, excluded []string) (*layout.Upstream, bool) {
-	return run.node.table.Pick(replicas, excluded)
+	return run.node.table.Pick(replicas, excluded, run.resolved.workspace.Priority())
 }
 
 // HedgeDelay is the latency that few sub-requests on the archive exceed.
@@ -295,7 +327,7 @@
 	if !run.node.set.Routing.Hedge {
 		return time.Hour
 	}
-	return run.node.window(archive).Cached()
+	return run.node.window(archive, run.resolved.workspace.Priority()).Cached()
 }
 
 // TakeHedge spends from the hedge budget, unless this priority is overloaded.
@@ -331,11 +363,18 @@
 	return n.random.jitter(d)
 }
 
+// service is a kind of work whose latency is followed.
+type service struct {
+	archive  string
+	priority prio.Priority
+}
+
 // window follows the latency of sub-requests on an archive.
-func (n *Node) window(archive string) *quant.Window {
-	if w, ok := n.latency.Load(archive); ok {
+func (n *Node) window(archive string, p prio.Priority) *quant.Window {
+	key := service{archive, p}
+	if w, ok := n.latency.Load(key); ok {
 		return w.(*quant.Window)
 	}
-	w, _ := n.latency.LoadOrStore(archive, quant.New(quant.WithTarget(n.set.Routing.HedgeQuantile)))
+	w, _ := n.latency.LoadOrStore(key, quant.New(quant.WithTarget(n.set.Routing.HedgeQuantile)))
 	return w.(*quant.Window)
 }
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -199,7 +199,7 @@
 	}
 	value := fmt.Sprint(j.resolved.values[j.resolved.template.Partition()])
 	shard := int(xxhash.Sum64String(value) % uint64(len(a.Shards())))
-	u, ok := j.node.table.Pick(a.Shards()[shard].Replicas(), nil)
+	u, ok := j.node.table.Pick(a.Shards()[shard].Replicas(), nil, j.resolved.workspace.Priority())
 	return search.Target{Archive: a.Name(), Shard: shard, Version: a.Version()}, u, ok
 }
 
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -108,10 +108,20 @@
 	return list
 }
 
+// withoutShunned marks as dead the members that are routed around.
+func (n *Node) withoutShunned(records []member.Record) []member.Record {
+	for i := range records {
+		if n.shuns(records[i].Addr) {
+			records[i].Status = member.Dead
+		}
+	}
+	return records
+}
+
 // rebuildView makes the members' present state the one that requests see.
 func (n *Node) rebuildView() {
 	records, reachable := n.members.snapshot()
-	next := newView(n.set.VM, records, reachable)
+	next := newView(n.set.VM, n.withoutShunned(records), reachable)
 	old := n.view.Swap(next)
 	if old == nil {
 		return
--- a/internal/stand/upstream.go
+++ b/internal/stand/upstream.go
@@ -175,7 +175,7 @@
 	switch why := u.admit(served); why {
 	case "":
 	case wire.RefusalVersion:
-		u.ledger.Effect("reindex")
+		u.ledger.Effect("reindex-gone")
 		refuse(w, http.StatusGone, why)
 		return
 	default:
@@ -240,6 +240,9 @@
 	_ = json.Unmarshal(req.Params, &params)
 	part := Part(req.Archive, req.Version, req.Shard)
 	u.ledger.Begin(req.Trace, part, req.Key)
+	if req.Version > 1 {
+		u.ledger.Effect("reindex")
+	}
 	service := u.serviceTime()
 	timer := time.NewTimer(service)
 	defer timer.Stop()
--- a/pkg/dedup/table.go
+++ b/pkg/dedup/table.go
@@ -100,9 +100,11 @@
 // table is complete, mayRun tells whether this node may run new requests of
 // the key, and first whether the caller marks the send as the key's first.
 //
-// A first send that is not run here was run nowhere, since nobody else has
-// seen the key. Any other refusal is NotRun only while the table is complete
-// for the key.
+// A first send that is refused was run nowhere, since nobody else has seen the
+// key; the caller that sends a key again gives up the answers of earlier sends.
+// Any other refusal is Unknown. A key that was made before the table was
+// complete is refused even to a first send, which may have been under way for
+// long.
 func (t *Table) Begin(k Key, since time.Time, mayRun, first bool) Decision {
 	t.sweep()
 	if e, ok := t.entries[k.text]; ok {
@@ -115,8 +117,8 @@
 		return refuse(first, "key is older than the window; make a new key for a new request")
 	case k.born.After(now.Add(t.margin)):
 		return refuse(first, "key is from the future; set the caller's clock")
-	case !complete && !first:
-		return refuse(false, "key was made before its present owner took over, and an earlier send may have run")
+	case !complete:
+		return refuse(first, "key was made before its present owner took over; make a new key for a new request")
 	case !mayRun:
 		return refuse(first, "owner of the key has no lease at present; get a key with POST /v1/keys")
 	}
@@ -138,8 +140,9 @@
 	return Replay{Outcome: e.outcome}
 }
 
-// End records the outcome of a request that Begin told to run. After NotRun
-// the key may be tried again.
+// End records the outcome of a request that Begin told to run. NotRun is final
+// too: another send of the key may still be on its way, and must not run after
+// a caller was told that the request did not.
 func (t *Table) End(k Key, o Outcome) {
 	e, ok := t.entries[k.text]
 	if !ok {
@@ -147,9 +150,6 @@
 	}
 	e.outcome = o
 	close(e.done)
-	if o.Status == NotRun {
-		delete(t.entries, k.text)
-	}
 }
 
 // Outcome gives the recorded outcome of a key that is not running.
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -59,7 +59,7 @@
 // Priority is the ticket's priority.
 func (t Ticket) Priority() prio.Priority { return t.priority }
 
-// Event is an input of Step: Arrive, Finish, Withdraw, Drain or Restart.
+// Event is an input of Step: Arrive, Finish, Withdraw, Overload, Drain or Restart.
 type Event interface{ event() }
 
 // Arrive offers a ticket.
@@ -84,6 +84,10 @@
 // grows again from one.
 type Restart struct{}
 
+// Overload lowers the limit on a sign from elsewhere.
+type Overload struct{}
+
+func (Overload) event() {}
 func (Arrive) event()   {}
 func (Finish) event()   {}
 func (Withdraw) event() {}
@@ -121,7 +125,7 @@
 	defaultSlots    = 2
 	defaultQueue    = 128
 	initialService  = 10 * time.Millisecond
-	serviceSmooth   = 0.05
+	serviceSmooth   = 0.1
 	defaultStandard = 0.10
 	defaultBulk     = 0.05
 	defaultDecrease = 0.5
@@ -136,6 +140,7 @@
 	queueCap int
 	fifo     bool
 	decrease float64
+	strict   bool
 	share    [prio.Count]float64
 	spare    [prio.Count]int
 
@@ -177,6 +182,10 @@
 // The default is 0.5.
 func WithDecrease(f float64) Option { return func(g *Gate) { g.decrease = f } }
 
+// WithStrict refuses what would miss its deadline by the plain estimate. By
+// default a ticket is refused only if it would even with half the estimate.
+func WithStrict() Option { return func(g *Gate) { g.strict = true } }
+
 // WithFIFO serves in order of arrival, ignoring priority. It is the baseline
 // that experiments compare with.
 func WithFIFO(on bool) Option { return func(g *Gate) { g.fifo = on } }
@@ -216,6 +225,9 @@
 	return g.wait(p, g.ahead(p))
 }
 
+// Pace is the smoothed service time.
+func (g *Gate) Pace() time.Duration { return g.service }
+
 // Step applies one event and returns what has to be done. The slice is valid
 // until the next call.
 func (g *Gate) Step(ev Event) []Action {
@@ -227,6 +239,8 @@
 		g.finish(ev)
 	case Withdraw:
 		g.withdraw(ev.ID)
+	case Overload:
+		g.limiter.Overload()
 	case Drain:
 		g.drain()
 	case Restart:
@@ -322,11 +336,14 @@
 	g.out = append(g.out, Refuse{Ticket: t, Reason: why, RetryAfter: g.Wait(t.priority)})
 }
 
-// late tells whether the ticket would miss its deadline even if the estimate
-// of its wait and service is twice too long.
+// late tells whether the ticket would miss its deadline.
 func (g *Gate) late(t Ticket) bool {
 	wait := g.wait(t.priority, g.ahead(t.priority))
-	return time.Until(t.deadline) < (wait+g.service)/2
+	need := wait + g.service
+	if !g.strict {
+		need /= 2
+	}
+	return time.Until(t.deadline) < need
 }
 
 // ahead counts the waiting tickets that would run before one of the priority.
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -102,15 +102,15 @@
 // Leave starts to hand over every slot.
 type Leave struct{}
 
-func (Tick) event()         {}
-func (Written) event() {}
-func (Read) event()    {}
-func (Revoked) event() {}
-func (SlotRead) event()     {}
-func (SlotWritten) event()  {}
-func (Received) event()     {}
-func (HandedOver) event()   {}
-func (Leave) event()        {}
+func (Tick) event()        {}
+func (Written) event()     {}
+func (Read) event()        {}
+func (Revoked) event()     {}
+func (SlotRead) event()    {}
+func (SlotWritten) event() {}
+func (Received) event()    {}
+func (HandedOver) event()  {}
+func (Leave) event()       {}
 
 // Action is an output of Step.
 type Action interface{ action() }
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -94,6 +94,7 @@
 	seq      uint64
 	next     time.Time
 	synced   time.Time
+	heardAt  time.Time
 	digest   uint64
 	versions Versions
 	out      []Action
--- a/pkg/member/probe.go
+++ b/pkg/member/probe.go
@@ -135,8 +135,12 @@
 }
 
 // judgeSuspects declares dead the suspects of this domain that have not
-// contradicted in time.
+// contradicted in time. A member that hears from nobody suspects itself: it has
+// been paused or cut off, and declares nobody dead.
 func (t *Tracker) judgeSuspects(now time.Time) {
+	if now.Sub(t.heardAt) > t.suspicion {
+		return
+	}
 	for _, name := range t.peers(func(r Record) bool { return r.Status == Suspect && r.Domain == t.self.Domain }) {
 		e := t.members[name]
 		if now.Sub(e.changedAt) < t.suspicion {
@@ -186,6 +190,7 @@
 // heard notes direct evidence of life. A member taken for dead hears of it
 // in the answer and contradicts.
 func (t *Tracker) heard(r Record) {
+	t.heardAt = time.Now()
 	t.domains[r.Domain] = time.Now()
 	if e := t.members[r.VM]; r.Status == Suspect || r.Status == Dead {
 		t.renew(e)
--- a/pkg/quant/quant.go
+++ b/pkg/quant/quant.go
@@ -81,11 +81,12 @@
 	w.since++
 	if w.since >= refreshEvery {
 		w.since = 0
-		w.cached.Store(int64(w.quantile(w.target)))
+		w.cached.Store(int64(min(w.quantile(w.target), tailFactor*w.quantile(0.5))))
 	}
 }
 
-// Cached is the target quantile as of the last few samples.
+// Cached is the target quantile as of the last few samples, bounded by a
+// multiple of the median.
 func (w *Window) Cached() time.Duration { return time.Duration(w.cached.Load()) }
 
 // Quantile computes any quantile between 0 and 1 now.
@@ -105,6 +106,10 @@
 	w.current.Reset()
 }
 
+// tailFactor bounds Cached to so many times the median: when a part of the
+// replicas is slow, the quantile itself is that of the slow ones.
+const tailFactor = 3
+
 // quantile reads the fuller picture: the larger of both histograms' values, so
 // that a service that has just become slow is noticed at once and one that has
 // become fast is believed after a full window.
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -19,11 +19,12 @@
 	"time"
 
 	"geraniumstep.org/geraniumstep/pkg/layout"
+	"geraniumstep.org/geraniumstep/pkg/prio"
 )
 
 const (
 	initialLatency = 10 * time.Millisecond
-	latencySmooth  = 0.1
+	latencySmooth  = 0.3
 	// waitHalfLife is how fast a reported queueing time loses its weight.
 	waitHalfLife = 200 * time.Millisecond
 	// penaltyTime is how long an upstream that failed is avoided.
@@ -31,8 +32,10 @@
 	// leavingTime is how long a drain is believed without being renewed.
 	leavingTime = 2 * time.Second
 	// explore is the chance of a choice that ignores latency, so that an
-	// upstream that was slow is tried again.
-	explore = 0.01
+	// upstream that was slow is tried again. Urgent work leaves most of that
+	// to others.
+	explore       = 0.02
+	exploreUrgent = 0.002
 )
 
 // Table holds what a node knows of every upstream. It is safe for concurrent use.
@@ -63,8 +66,8 @@
 type Stats struct {
 	inFlight atomic.Int64
 	latency  atomic.Int64
-	wait     atomic.Int64
-	waitAt   atomic.Int64
+	wait     [prio.Count]atomic.Int64
+	waitAt   [prio.Count]atomic.Int64
 	avoid    atomic.Int64
 	leaving  atomic.Int64
 }
@@ -107,10 +110,10 @@
 // Pick chooses a replica of the shard that is not excluded. Upstreams that are
 // leaving or have just failed come last. It reports false when every replica
 // is excluded.
-func (t *Table) Pick(replicas []*layout.Upstream, excluded []string) (*layout.Upstream, bool) {
+func (t *Table) Pick(replicas []*layout.Upstream, excluded []string, p prio.Priority) (*layout.Upstream, bool) {
 	stats := *t.stats.Load()
 	now := time.Now()
-	random := t.policy == PolicyRandom || t.random.float() < explore
+	random := t.policy == PolicyRandom || t.random.float() < exploration(p)
 	var (
 		best     *layout.Upstream
 		bestCost = math.Inf(1)
@@ -121,7 +124,7 @@
 		if contains(excluded, u.ID()) {
 			continue
 		}
-		cost := stats[u.ID()].cost(now, random)
+		cost := stats[u.ID()].cost(now, u.Slots(), p, random)
 		if best == nil || cost < bestCost {
 			best, bestCost = u, cost
 		}
@@ -129,6 +132,13 @@
 	return best, best != nil
 }
 
+func exploration(p prio.Priority) float64 {
+	if p == prio.Urgent {
+		return exploreUrgent
+	}
+	return explore
+}
+
 func contains(list []string, id string) bool {
 	for _, s := range list {
 		if s == id {
@@ -144,14 +154,14 @@
 )
 
 // cost estimates the time to an answer in seconds.
-func (s *Stats) cost(now time.Time, random bool) float64 {
+func (s *Stats) cost(now time.Time, slots int, p prio.Priority, random bool) float64 {
 	if s == nil {
 		return costLeaving
 	}
 	cost := 0.0
 	if !random {
 		latency := time.Duration(s.latency.Load()).Seconds()
-		cost = latency*float64(1+s.inFlight.Load()) + s.agedWait(now).Seconds()
+		cost = latency*(1+float64(s.inFlight.Load())/float64(slots)) + s.agedWait(now, p).Seconds()
 	}
 	if now.UnixNano() < s.avoid.Load() {
 		cost += costAvoid
@@ -162,9 +172,9 @@
 	return cost
 }
 
-func (s *Stats) agedWait(now time.Time) time.Duration {
-	age := time.Duration(now.UnixNano() - s.waitAt.Load())
-	return time.Duration(float64(s.wait.Load()) * math.Exp2(-age.Seconds()/waitHalfLife.Seconds()))
+func (s *Stats) agedWait(now time.Time, p prio.Priority) time.Duration {
+	age := time.Duration(now.UnixNano() - s.waitAt[p].Load())
+	return time.Duration(float64(s.wait[p].Load()) * math.Exp2(-age.Seconds()/waitHalfLife.Seconds()))
 }
 
 // Begin counts a sub-request sent.
@@ -176,21 +186,21 @@
 // InFlight is the number of this node's sub-requests on the upstream.
 func (s *Stats) InFlight() int64 { return s.inFlight.Load() }
 
-// Served records the service time of an answer and the queueing time that the
-// gate reported with it. A cancelled sub-request that took longer than the
-// average counts too, else a slow replica that always loses its race would
-// never look slow.
-func (s *Stats) Served(service, wait time.Duration) {
-	old := s.latency.Load()
-	s.latency.Store(old + int64(latencySmooth*float64(int64(service)-old)))
-	s.wait.Store(int64(wait))
-	s.waitAt.Store(time.Now().UnixNano())
+// Served records what the upstream's front said with an answer: its usual
+// service time, and how long the next sub-request of the priority would queue.
+func (s *Stats) Served(pace, ahead time.Duration, p prio.Priority) {
+	s.latency.Store(int64(pace))
+	s.wait[p].Store(int64(ahead))
+	s.waitAt[p].Store(time.Now().UnixNano())
 }
 
-// Outlived records that a sub-request was given up after the given time.
+// Outlived records that a sub-request was given up after the given time. It
+// counts when that is longer than usual, else a slow replica that always loses
+// its race would never look slow.
 func (s *Stats) Outlived(after time.Duration) {
-	if int64(after) > s.latency.Load() {
-		s.Served(after, 0)
+	old := s.latency.Load()
+	if int64(after) > old {
+		s.latency.Store(old + int64(latencySmooth*float64(int64(after)-old)))
 	}
 }
 
@@ -200,7 +210,7 @@
 // Drains makes a draining upstream the very last choice for a while.
 func (s *Stats) Drains() { s.leaving.Store(time.Now().Add(leavingTime).UnixNano()) }
 
-// Latency is the moving average of service times.
+// Latency is the upstream's usual service time.
 func (s *Stats) Latency() time.Duration { return time.Duration(s.latency.Load()) }
 
 // lockedRand shares one seeded source between goroutines.
--- a/pkg/search/faults.go
+++ b/pkg/search/faults.go
@@ -29,6 +29,7 @@
 		return
 	}
 	sh.excluded = append(sh.excluded, upstream)
+	sh.unreachable = ev.Cause == CauseUnreachable
 	if len(sh.live) > 0 {
 		return
 	}
@@ -47,6 +48,9 @@
 	if s.mayRetryNow(cause) && s.send(i, false) {
 		return
 	}
+	if i == s.canary && s.moveCanary() {
+		return
+	}
 	delay := s.deps.Backoff(sh.retries)
 	sh.retries++
 	if time.Now().Add(delay).Before(s.plan.Deadline) && sh.retries < attemptsPerShard {
@@ -57,11 +61,24 @@
 	s.lose(i)
 }
 
+// moveCanary sends the first sub-request to the next shard, because no replica
+// of the present one takes it. That shard waits for the others.
+func (s *Search) moveCanary() bool {
+	if s.moved+1 >= len(s.shards) {
+		return false
+	}
+	s.moved++
+	s.shards[s.canary].state = shardWaiting
+	s.shards[s.canary].excluded = s.shards[s.canary].excluded[:0]
+	s.canary = (s.canary + 1) % len(s.shards)
+	return s.send(s.canary, false)
+}
+
 // mayRetryNow tells whether another replica may be tried at once. What
 // provably did not run and says nothing of load costs no budget.
 func (s *Search) mayRetryNow(cause Cause) bool {
 	switch cause {
-	case CauseDraining, CauseVersionGone:
+	case CauseDraining, CauseVersionGone, CauseUnreachable:
 		return true
 	}
 	return s.deps.TakeRetry()
@@ -133,12 +150,28 @@
 	s.send(i, true)
 }
 
-// softExpired tells whether the latency target has passed with enough coverage.
+// softExpired tells whether the latency target has passed with as much coverage
+// as is wanted, or can be had.
 func (s *Search) softExpired(now time.Time) bool {
 	if s.plan.SoftDeadline.IsZero() || now.Before(s.plan.SoftDeadline) {
 		return false
 	}
-	return s.answered > 0 && float64(s.answered) >= s.plan.MinCoverage*float64(len(s.shards))
+	if s.answered > 0 && float64(s.answered) >= s.plan.MinCoverage*float64(len(s.shards)) {
+		return true
+	}
+	return s.answered > 0 && s.restUnreachable()
+}
+
+// restUnreachable tells whether every shard without an answer is out of reach,
+// so that waiting longer would bring nothing.
+func (s *Search) restUnreachable() bool {
+	for i := range s.shards {
+		sh := &s.shards[i]
+		if sh.state == shardWaiting || sh.state == shardOpen && (len(sh.live) > 0 || !sh.unreachable) {
+			return false
+		}
+	}
+	return true
 }
 
 // expire gives up the shards that have not answered.
--- a/pkg/search/search.go
+++ b/pkg/search/search.go
@@ -70,6 +70,7 @@
 	open     int
 	answered int
 	canary   int
+	moved    int
 	ran      bool
 	stale    bool
 	done     bool
@@ -92,6 +93,8 @@
 	hits     []Hit
 	sum      float64
 	state    shardState
+	// unreachable tells that the last attempt found no way to an upstream.
+	unreachable bool
 }
 
 type shardState uint8
--- a/pkg/search/types.go
+++ b/pkg/search/types.go
@@ -81,8 +81,8 @@
 // Cause tells why an attempt failed.
 type Cause uint8
 
-// The causes. Refused, Draining and VersionGone prove that the sub-request did
-// not run.
+// The causes. The method notRun
+// lists those that prove that the sub-request did not run.
 const (
 	CauseRefused     Cause = iota // refused by the gate
 	CauseDraining                 // upstream draining
@@ -93,12 +93,13 @@
 	CauseTimeout                  // timed out
 	CauseQuarantined              // request quarantined
 	CauseInvalid                  // reply invalid
+	CauseUnreachable              // upstream unreachable
 )
 
 // notRun tells whether the cause proves that no upstream ran the attempt.
 func (c Cause) notRun() bool {
 	switch c {
-	case CauseRefused, CauseDraining, CauseShed, CauseVersionGone, CauseQuarantined:
+	case CauseRefused, CauseDraining, CauseShed, CauseVersionGone, CauseQuarantined, CauseUnreachable:
 		return true
 	}
 	return false
