gate, route, quant: notice a silent upstream before it answers; admit early

Cause: under a replica ten times slower, urgent searches waited for first sub-requests that nobody hedged (trace: 5 of 5 late searches), since the shared budget was spent by lesser work and the slow replica looked fast until it answered. Under floods the door learned of overload only when searches ended.

--- a/internal/node/admit.go
+++ b/internal/node/admit.go
@@ -15,7 +15,11 @@
 	// until it has learned more.
 	firstLimit = 16
 	// admitDecrease is how far a sign of overload lowers that number.
-	admitDecrease = 0.9
+	admitDecrease = 0.85
+	admitIncrease = 0.5
+	// patience is how long a search may wait at the door. A refusal is to
+	// reach its caller in 10 ms.
+	patience = 5 * time.Millisecond
 	// overloadMemory is how long a sign of overload keeps hedges off.
 	overloadMemory = time.Second
 	// waitShare is the part of its latency target that a search may spend
@@ -41,6 +45,7 @@
 			gate.WithInitial(min(firstLimit, l.InFlight)),
 			gate.WithQueue(l.Queue),
 			gate.WithDecrease(admitDecrease),
+			gate.WithIncrease(admitIncrease),
 			gate.WithStrict(),
 		)
 	}
@@ -58,7 +63,7 @@
 // the search cannot be served by the deadline.
 func (a *admission) enter(ctx context.Context, p prio.Priority, workspace string, deadline time.Time) (*entry, gate.Refuse, bool) {
 	t := gate.NewTicket(a.nextID.Add(1), p, workspace, deadline, false)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	if refusal, ok := a.gates[p].Acquire(ctx, t); !ok {
 		return nil, refusal, false
--- a/internal/node/search.go
+++ b/internal/node/search.go
@@ -30,6 +30,9 @@
 	// allShards as the least coverage makes a search wait for every shard
 	// that can be reached.
 	allShards = 1
+	// urgentReserve is the share of the hedge budget that less urgent work
+	// leaves alone.
+	urgentReserve = 0.5
 	// rounds is how many snapshots a search may be tried on.
 	rounds = 2
 )
@@ -332,7 +335,14 @@
 
 // TakeHedge spends from the hedge budget, unless this priority is overloaded.
 func (run *searchRun) TakeHedge() bool {
-	return !run.node.admit.overloaded(run.resolved.workspace.Priority()) && run.node.hedges.Spend()
+	p := run.resolved.workspace.Priority()
+	if run.node.admit.overloaded(p) {
+		return false
+	}
+	if p < prio.Urgent {
+		return run.node.hedges.SpendAbove(urgentReserve)
+	}
+	return run.node.hedges.Spend()
 }
 
 // TakeRetry spends from the retry budget.
--- a/pkg/budget/budget.go
+++ b/pkg/budget/budget.go
@@ -53,10 +53,15 @@
 }
 
 // Spend takes one token and tells whether there was one.
-func (b *Budget) Spend() bool {
+func (b *Budget) Spend() bool { return b.SpendAbove(0) }
+
+// SpendAbove takes one token if that leaves the given share of the burst, which
+// is so kept for more urgent work.
+func (b *Budget) SpendAbove(share float64) bool {
+	floor := unit + int64(share*float64(b.burst))
 	for {
 		old := b.level.Load()
-		if old < unit {
+		if old < floor {
 			b.held.Add(1)
 			return false
 		}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -140,6 +140,7 @@
 	queueCap int
 	fifo     bool
 	decrease float64
+	increase float64
 	strict   bool
 	share    [prio.Count]float64
 	spare    [prio.Count]int
@@ -147,6 +148,9 @@
 	limiter  *limit.Limiter
 	draining bool
 	inFlight int
+	// progress is when a ticket was last dispatched to an idle upstream or
+	// finished, so that a silent upstream looks slow before it answers.
+	progress time.Time
 	running  [prio.Count]int
 	solo     bool
 	queued   int
@@ -182,6 +186,10 @@
 // The default is 0.5.
 func WithDecrease(f float64) Option { return func(g *Gate) { g.decrease = f } }
 
+// WithIncrease sets by how much a full round of healthy answers raises the
+// limit. The default is 1.
+func WithIncrease(step float64) Option { return func(g *Gate) { g.increase = step } }
+
 // WithStrict refuses what would miss its deadline by the plain estimate. By
 // default a ticket is refused only if it would even with half the estimate.
 func WithStrict() Option { return func(g *Gate) { g.strict = true } }
@@ -192,7 +200,7 @@
 
 // New returns a Gate whose limit starts at its number of slots.
 func New(opts ...Option) *Gate {
-	g := &Gate{slots: defaultSlots, queueCap: defaultQueue, service: initialService, decrease: defaultDecrease}
+	g := &Gate{slots: defaultSlots, queueCap: defaultQueue, service: initialService, decrease: defaultDecrease, increase: 1}
 	g.share[prio.Standard] = defaultStandard
 	g.share[prio.Bulk] = defaultBulk
 	for _, opt := range opts {
@@ -201,7 +209,7 @@
 	if g.initial == 0 {
 		g.initial = g.slots
 	}
-	g.limiter = limit.New(g.initial, limit.WithMax(g.slots), limit.WithDecrease(g.decrease))
+	g.limiter = limit.New(g.initial, limit.WithMax(g.slots), limit.WithDecrease(g.decrease), limit.WithIncrease(g.increase))
 	for p := range g.classes {
 		g.classes[p] = newClass(g.fifo)
 	}
@@ -225,8 +233,14 @@
 	return g.wait(p, g.ahead(p))
 }
 
-// Pace is the smoothed service time.
-func (g *Gate) Pace() time.Duration { return g.service }
+// Pace is the smoothed service time, or the time since the last progress if
+// that is longer.
+func (g *Gate) Pace() time.Duration {
+	if g.inFlight == 0 {
+		return g.service
+	}
+	return max(g.service, time.Since(g.progress))
+}
 
 // Step applies one event and returns what has to be done. The slice is valid
 // until the next call.
@@ -299,6 +313,7 @@
 
 func (g *Gate) finish(ev Finish) {
 	g.inFlight--
+	g.progress = time.Now()
 	g.running[ev.Ticket.priority]--
 	if ev.Ticket.solo {
 		g.solo = false
@@ -364,5 +379,5 @@
 		return 0
 	}
 	width := max(g.Limit()-g.spare[p], 1)
-	return time.Duration(ahead-free+1) * g.service / time.Duration(width)
+	return time.Duration(ahead-free+1) * g.Pace() / time.Duration(width)
 }
--- a/pkg/gate/order.go
+++ b/pkg/gate/order.go
@@ -34,6 +34,9 @@
 }
 
 func (g *Gate) start(t Ticket) {
+	if g.inFlight == 0 {
+		g.progress = time.Now()
+	}
 	g.inFlight++
 	g.running[t.priority]++
 	g.solo = t.solo
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -23,6 +23,7 @@
 	min      float64
 	max      float64
 	decrease float64
+	increase float64
 	hold     time.Duration
 	lastCut  time.Time
 }
@@ -39,13 +40,17 @@
 // WithDecrease sets the factor applied on overload. The default is 0.7.
 func WithDecrease(f float64) Option { return func(l *Limiter) { l.decrease = f } }
 
+// WithIncrease sets by how much a full round of healthy answers raises the
+// limit. The default is 1.
+func WithIncrease(step float64) Option { return func(l *Limiter) { l.increase = step } }
+
 // WithHold sets the least time between two decreases, so that the many signs
 // of one overload count once. The default is 100 ms.
 func WithHold(d time.Duration) Option { return func(l *Limiter) { l.hold = d } }
 
 // New returns a Limiter that starts at n.
 func New(n int, opts ...Option) *Limiter {
-	l := &Limiter{limit: float64(n), min: 1, max: defaultMax, decrease: defaultDecrease, hold: defaultHold}
+	l := &Limiter{limit: float64(n), min: 1, max: defaultMax, decrease: defaultDecrease, increase: 1, hold: defaultHold}
 	for _, opt := range opts {
 		opt(l)
 	}
@@ -57,13 +62,13 @@
 func (l *Limiter) Limit() int { return int(l.limit) }
 
 // Good reports a healthy answer that came while inFlight requests were
-// running. The limit grows by about one for each round of answers, and only
-// when at least half of it was in use.
+// running. The limit grows by a step for each round of answers, and only when
+// at least half of it was in use.
 func (l *Limiter) Good(inFlight int) {
 	if float64(inFlight)*2 < l.limit {
 		return
 	}
-	l.limit += 1 / l.limit
+	l.limit += l.increase / l.limit
 	l.clamp()
 }
 
--- a/pkg/quant/quant.go
+++ b/pkg/quant/quant.go
@@ -17,7 +17,7 @@
 
 const (
 	defaultWindow  = 5 * time.Second
-	defaultInitial = 50 * time.Millisecond
+	defaultInitial = 100 * time.Millisecond
 	// minSamples is how many samples a quantile needs before it is believed.
 	minSamples = 64
 	// refreshEvery is how many samples pass between two readings of a quantile.
@@ -108,7 +108,7 @@
 
 // tailFactor bounds Cached to so many times the median: when a part of the
 // replicas is slow, the quantile itself is that of the slow ones.
-const tailFactor = 3
+const tailFactor = 4
 
 // quantile reads the fuller picture: the larger of both histograms' values, so
 // that a service that has just become slow is noticed at once and one that has
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -24,7 +24,10 @@
 
 const (
 	initialLatency = 10 * time.Millisecond
-	latencySmooth  = 0.3
+	latencySmooth  = 0.6
+	// latencyFresh is how long a service time is believed in full; after that
+	// what it exceeds the initial one by halves in each such time.
+	latencyFresh = 2 * time.Second
 	// waitHalfLife is how fast a reported queueing time loses its weight.
 	waitHalfLife = 200 * time.Millisecond
 	// penaltyTime is how long an upstream that failed is avoided.
@@ -64,12 +67,14 @@
 
 // Stats is the evidence about one upstream.
 type Stats struct {
-	inFlight atomic.Int64
-	latency  atomic.Int64
-	wait     [prio.Count]atomic.Int64
-	waitAt   [prio.Count]atomic.Int64
-	avoid    atomic.Int64
-	leaving  atomic.Int64
+	inFlight  atomic.Int64
+	latency   atomic.Int64
+	latencyAt atomic.Int64
+	progress  atomic.Int64
+	wait      [prio.Count]atomic.Int64
+	waitAt    [prio.Count]atomic.Int64
+	avoid     atomic.Int64
+	leaving   atomic.Int64
 }
 
 // New returns an empty Table that draws from the given source.
@@ -160,7 +165,7 @@
 	}
 	cost := 0.0
 	if !random {
-		latency := time.Duration(s.latency.Load()).Seconds()
+		latency := s.expected(now).Seconds()
 		cost = latency*(1+float64(s.inFlight.Load())/float64(slots)) + s.agedWait(now, p).Seconds()
 	}
 	if now.UnixNano() < s.avoid.Load() {
@@ -172,13 +177,32 @@
 	return cost
 }
 
+// expected is the usual service time, or the time since the last progress if
+// that is longer. What made the upstream look slow loses its weight with time,
+// so that it is tried again.
+func (s *Stats) expected(now time.Time) time.Duration {
+	latency := time.Duration(s.latency.Load())
+	if s.inFlight.Load() > 0 {
+		latency = max(latency, time.Duration(now.UnixNano()-s.progress.Load()))
+	}
+	age := time.Duration(now.UnixNano() - s.latencyAt.Load())
+	if excess := latency - initialLatency; excess > 0 && age > latencyFresh {
+		latency = initialLatency + time.Duration(float64(excess)*math.Exp2(-(age-latencyFresh).Seconds()/latencyFresh.Seconds()))
+	}
+	return latency
+}
+
 func (s *Stats) agedWait(now time.Time, p prio.Priority) time.Duration {
 	age := time.Duration(now.UnixNano() - s.waitAt[p].Load())
 	return time.Duration(float64(s.wait[p].Load()) * math.Exp2(-age.Seconds()/waitHalfLife.Seconds()))
 }
 
 // Begin counts a sub-request sent.
-func (s *Stats) Begin() { s.inFlight.Add(1) }
+func (s *Stats) Begin() {
+	if s.inFlight.Add(1) == 1 {
+		s.progress.Store(time.Now().UnixNano())
+	}
+}
 
 // End counts a sub-request answered, cancelled or failed.
 func (s *Stats) End() { s.inFlight.Add(-1) }
@@ -189,9 +213,12 @@
 // Served records what the upstream's front said with an answer: its usual
 // service time, and how long the next sub-request of the priority would queue.
 func (s *Stats) Served(pace, ahead time.Duration, p prio.Priority) {
+	now := time.Now().UnixNano()
 	s.latency.Store(int64(pace))
+	s.latencyAt.Store(now)
+	s.progress.Store(now)
 	s.wait[p].Store(int64(ahead))
-	s.waitAt[p].Store(time.Now().UnixNano())
+	s.waitAt[p].Store(now)
 }
 
 // Outlived records that a sub-request was given up after the given time. It
@@ -201,6 +228,7 @@
 	old := s.latency.Load()
 	if int64(after) > old {
 		s.latency.Store(old + int64(latencySmooth*float64(int64(after)-old)))
+		s.latencyAt.Store(time.Now().UnixNano())
 	}
 }
 
--- a/pkg/search/faults.go
+++ b/pkg/search/faults.go
@@ -136,15 +136,30 @@
 	if len(sh.live) != 1 || sh.live[0].hedged {
 		return false
 	}
-	return now.Sub(sh.live[0].sentAt) >= s.deps.HedgeDelay(sh.target.Archive)
+	return !now.Before(s.hedgeAt(sh))
+}
+
+// hedgeAt is when the only attempt of a shard has taken so long that a second
+// is due: sooner for the first sub-request of an unproven search, since all
+// others wait for it.
+func (s *Search) hedgeAt(sh *shard) time.Time {
+	delay := s.deps.HedgeDelay(sh.target.Archive)
+	if s.canary >= 0 {
+		delay /= 2
+	}
+	return sh.live[0].sentAt.Add(delay)
 }
 
 // hedge sends a second attempt. A shard without another replica, or a node
-// without budget, waits for the first.
+// without budget, waits for the first. The one sub-request that all others
+// wait for is hedged without budget.
 func (s *Search) hedge(i int) {
 	sh := &s.shards[i]
 	sh.live[0].hedged = true
-	if len(sh.replicas)-len(sh.excluded) < 2 || s.verdict() == poison.Suspect || !s.deps.TakeHedge() {
+	if len(sh.replicas)-len(sh.excluded) < 2 || s.verdict() == poison.Suspect {
+		return
+	}
+	if i != s.canary && !s.deps.TakeHedge() {
 		return
 	}
 	s.send(i, true)
@@ -205,7 +220,7 @@
 			continue
 		}
 		if len(sh.live) == 1 && !sh.live[0].hedged {
-			wake = earlier(wake, sh.live[0].sentAt.Add(s.deps.HedgeDelay(sh.target.Archive)))
+			wake = earlier(wake, s.hedgeAt(sh))
 		}
 		if len(sh.live) == 0 && !sh.retryAt.IsZero() {
 			wake = earlier(wake, sh.retryAt)
