--- a/pkg/dedup/key.go
+++ b/pkg/dedup/key.go
@@ -5,6 +5,7 @@
 package dedup
 
 import (
+	"encoding/binary"
 	"fmt"
 	"strconv"
 	"strings"
@@ -52,6 +53,17 @@
 	return k, nil
 }
 
+// NewKey makes a caller's key from a time and a number that must differ between
+// keys of the same millisecond, for those who bring their own clock.
+func NewKey(born time.Time, serial uint64) Key {
+	var u uuid.UUID
+	binary.BigEndian.PutUint64(u[:8], uint64(born.UnixMilli())<<16)
+	u[6] = 0x70 // version 7
+	binary.BigEndian.PutUint64(u[8:], serial)
+	u[8] = u[8]&0x3f | 0x80 // variant of RFC 9562
+	return Key{text: u.String(), born: born.Truncate(time.Millisecond)}
+}
+
 // Issue makes a key that only the given process runs.
 func Issue(vm string, started int64) (Key, error) {
 	u, err := uuid.NewV7()
--- a/pkg/lease/model_test.go
+++ b/pkg/lease/model_test.go
@@ -1,7 +1,6 @@
 package lease_test
 
 import (
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -9,8 +8,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/google/uuid"
-
 	"geraniumstep.org/geraniumstep/pkg/dedup"
 	"geraniumstep.org/geraniumstep/pkg/lease"
 )
@@ -78,7 +75,7 @@
 	step    int
 	skew    time.Duration
 	rules   rules
-	serial  uint32
+	serial  uint64
 	gained  int
 	handed  int
 	ran     int
@@ -330,25 +327,11 @@
 	}
 	m.serial++
 	born := time.Now().Add(m.clock())
-	k := &modelKey{key: keyAt(born, m.serial), refusedAt: -1}
+	k := &modelKey{key: dedup.NewKey(born, m.serial), refusedAt: -1}
 	m.keys = append(m.keys, k)
 	return k
 }
 
-// keyAt makes the UUIDv7 of a caller whose clock shows the time.
-func keyAt(born time.Time, serial uint32) dedup.Key {
-	var u uuid.UUID
-	binary.BigEndian.PutUint64(u[:8], uint64(born.UnixMilli())<<16)
-	u[6] = 0x70
-	u[8] = 0x80
-	binary.BigEndian.PutUint32(u[12:], serial)
-	k, err := dedup.ParseKey(u.String())
-	if err != nil {
-		panic(err)
-	}
-	return k
-}
-
 // arrive lets a request reach the upstream, which refuses it after its fence.
 func (m *model) arrive() {
 	if len(m.sends) == 0 {
--- a/pkg/member/probe.go
+++ b/pkg/member/probe.go
@@ -21,8 +21,12 @@
 	t.forget(now)
 }
 
-// probeOwn probes the next member of this failure domain.
+// probeOwn probes the next member of this failure domain, once the probe before
+// has been answered or has led to suspicion.
 func (t *Tracker) probeOwn(now time.Time) {
+	if t.probe.target != "" {
+		return
+	}
 	target, ok := t.nextInRing()
 	if !ok {
 		return
