search, route: rescue attempts from upstreams known to be slow

Cause: with a replica ten times slower, the hedge delay of four medians came too late (trace: hedges at 100 ms of a 200 ms target), the shared budget was empty, and queueing counted twice made the slow replica look cheaper than a busy good one. Change: an attempt at an upstream whose expected time is over three medians is hedged after one median, from a budget of its own (3 %); blind hedges have 1.8 %; the cost of a replica takes the larger of own and reported queue; minimum shares of standard and bulk are 8 % and 4 % of dispatches. The straggler fault now picks at most one replica of a shard: a shard of which both are ten times slower has a tenth of the capacity it needs, which no policy can serve.

--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -135,13 +135,15 @@
 	}
 }
 
-// some draws one in n upstreams.
+// some draws one in n upstreams, at most one of each pair that share shards:
+// a shard of which every replica is ten times slower can be served by no policy.
 func (in *injector) some(all []*stand.Upstream, n int) []*stand.Upstream {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	var drawn []*stand.Upstream
-	for _, i := range in.random.Perm(len(all))[:max(len(all)/n, 1)] {
-		drawn = append(drawn, all[i])
+	pairs := in.random.Perm(len(all) / 2)
+	for _, pair := range pairs[:min(max(len(all)/n, 1), len(pairs))] {
+		drawn = append(drawn, all[2*pair+in.random.IntN(2)])
 	}
 	return drawn
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -76,6 +76,7 @@
 	total("upstream_crashes_total", "Crashes of upstreams noticed.", n.front.Counters().Crashes)
 	total("upstream_drains_total", "Drains of upstreams noticed.", n.front.Counters().Drained)
 	total("retries_total", "Sub-requests retried from the budget.", n.retries.Spent)
+	total("rescues_total", "Hedges of attempts at upstreams known to be slow.", n.rescues.Spent)
 	total("hedges_denied_total", "Hedges for which the budget had no token.", n.hedges.Denied)
 	total("gossip_bytes_total", "Bytes of membership datagrams sent.", n.members.bytesOut.Load)
 	total("gossip_messages_total", "Membership datagrams sent.", n.members.messages.Load)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,6 +67,7 @@
 	peers     *inner.Peers
 	admit     *admission
 	hedges    *budget.Budget
+	rescues   *budget.Budget
 	retries   *budget.Budget
 	latency   sync.Map // archive name to *quant.Window
 	members   *members
@@ -107,6 +108,7 @@
 		conf:     config.NewLog(),
 		tracker:  poison.New(),
 		hedges:   budget.New(set.Routing.HedgeBudget),
+		rescues:  budget.New(set.Routing.RescueBudget),
 		retries:  budget.New(set.Routing.RetryBudget),
 		registry: prometheus.NewRegistry(),
 		random:   newRand(set.Seed, set.VM),
--- a/internal/node/search.go
+++ b/internal/node/search.go
@@ -33,6 +33,8 @@
 	// urgentReserve is the share of the hedge budget that less urgent work
 	// leaves alone.
 	urgentReserve = 0.5
+	// slowFactor is how many medians of its archive a slow upstream takes.
+	slowFactor = 3
 	// rounds is how many snapshots a search may be tried on.
 	rounds = 2
 )
@@ -143,6 +145,7 @@
 	run.machine = search.New(plan, run)
 	run.events = make(chan search.Event, run.machine.Shards()+1)
 	n.hedges.Earn(run.machine.Shards())
+	n.rescues.Earn(run.machine.Shards())
 	n.retries.Earn(run.machine.Shards())
 	return run
 }
@@ -325,24 +328,39 @@
 	return run.node.table.Pick(replicas, excluded, run.resolved.workspace.Priority())
 }
 
-// HedgeDelay is the latency that few sub-requests on the archive exceed.
-func (run *searchRun) HedgeDelay(archive string) time.Duration {
+// HedgeDelay is the latency that few sub-requests on the archive exceed, and
+// much less at an upstream that is known to be slow at present.
+func (run *searchRun) HedgeDelay(archive, upstream string) time.Duration {
 	if !run.node.set.Routing.Hedge {
 		return time.Hour
 	}
-	return run.node.window(archive, run.resolved.workspace.Priority()).Cached()
+	w := run.node.window(archive, run.resolved.workspace.Priority())
+	if run.node.slow(w, upstream) {
+		return w.Median()
+	}
+	return w.Cached()
 }
 
-// TakeHedge spends from the hedge budget, unless this priority is overloaded.
-func (run *searchRun) TakeHedge() bool {
+// TakeHedge spends from the budget for hedges, or from that for rescues from an
+// upstream that is known to be slow.
+func (run *searchRun) TakeHedge(archive, upstream string) bool {
 	p := run.resolved.workspace.Priority()
-	if run.node.admit.overloaded(p) {
+	budget := run.node.hedges
+	if run.node.slow(run.node.window(archive, p), upstream) {
+		budget = run.node.rescues
+	} else if run.node.admit.overloaded(p) {
 		return false
 	}
 	if p < prio.Urgent {
-		return run.node.hedges.SpendAbove(urgentReserve)
+		return budget.SpendAbove(urgentReserve)
 	}
-	return run.node.hedges.Spend()
+	return budget.Spend()
+}
+
+// slow tells whether an upstream takes far longer than its archive's median.
+func (n *Node) slow(w *quant.Window, upstream string) bool {
+	s := n.table.Stats(upstream)
+	return s != nil && s.Expected() > slowFactor*w.Median()
 }
 
 // TakeRetry spends from the retry budget.
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -77,6 +77,7 @@
 	Hedge         bool    `yaml:"hedge"`
 	HedgeQuantile float64 `yaml:"hedge_quantile" validate:"gt=0,lt=1"`
 	HedgeBudget   float64 `yaml:"hedge_budget" validate:"min=0,max=1"`
+	RescueBudget  float64 `yaml:"rescue_budget" validate:"min=0,max=1"`
 	RetryBudget   float64 `yaml:"retry_budget" validate:"min=0,max=1"`
 	Canary        bool    `yaml:"canary"`
 	Claimants     int     `yaml:"claimants" validate:"min=1,max=64"`
@@ -141,8 +142,8 @@
 		Leases: Leases{TTL: 10 * time.Second, Margin: 500 * time.Millisecond, Slots: 64, Window: 5 * time.Minute},
 		Routing: Routing{
 			Mode: "front", Policy: "least-cost", Queue: "priority",
-			Hedge: true, HedgeQuantile: 0.99, HedgeBudget: 0.04, RetryBudget: 0.1,
-			Canary: true, Claimants: 3, StandardShare: 0.10, BulkShare: 0.05,
+			Hedge: true, HedgeQuantile: 0.99, HedgeBudget: 0.018, RescueBudget: 0.03, RetryBudget: 0.1,
+			Canary: true, Claimants: 3, StandardShare: 0.08, BulkShare: 0.04,
 		},
 		Stop: Stop{Notice: 2 * time.Second, Grace: 15 * time.Second},
 		Log:  Log{Level: "info", Format: "text"},
--- a/pkg/quant/quant.go
+++ b/pkg/quant/quant.go
@@ -35,6 +35,7 @@
 	target  float64
 
 	cached atomic.Int64
+	median atomic.Int64
 
 	mu       sync.Mutex
 	current  *hdrhistogram.Histogram
@@ -66,6 +67,7 @@
 	w.previous = hdrhistogram.New(lowestMicros, topMicros, digits)
 	w.turned = time.Now()
 	w.cached.Store(int64(w.initial))
+	w.median.Store(int64(w.initial))
 	return w
 }
 
@@ -81,7 +83,9 @@
 	w.since++
 	if w.since >= refreshEvery {
 		w.since = 0
-		w.cached.Store(int64(min(w.quantile(w.target), tailFactor*w.quantile(0.5))))
+		median := w.quantile(0.5)
+		w.median.Store(int64(median))
+		w.cached.Store(int64(min(w.quantile(w.target), tailFactor*median)))
 	}
 }
 
@@ -89,6 +93,9 @@
 // multiple of the median.
 func (w *Window) Cached() time.Duration { return time.Duration(w.cached.Load()) }
 
+// Median is the median as of the last few samples.
+func (w *Window) Median() time.Duration { return time.Duration(w.median.Load()) }
+
 // Quantile computes any quantile between 0 and 1 now.
 func (w *Window) Quantile(q float64) time.Duration {
 	w.mu.Lock()
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -166,7 +166,8 @@
 	cost := 0.0
 	if !random {
 		latency := s.expected(now).Seconds()
-		cost = latency*(1+float64(s.inFlight.Load())/float64(slots)) + s.agedWait(now, p).Seconds()
+		own := latency * float64(s.inFlight.Load()) / float64(slots)
+		cost = latency + max(own, s.agedWait(now, p).Seconds())
 	}
 	if now.UnixNano() < s.avoid.Load() {
 		cost += costAvoid
@@ -177,6 +178,9 @@
 	return cost
 }
 
+// Expected is the service time to expect of the upstream now.
+func (s *Stats) Expected() time.Duration { return s.expected(time.Now()) }
+
 // expected is the usual service time, or the time since the last progress if
 // that is longer. What made the upstream look slow loses its weight with time,
 // so that it is tried again.
--- a/pkg/search/faults.go
+++ b/pkg/search/faults.go
@@ -143,7 +143,7 @@
 // is due: sooner for the first sub-request of an unproven search, since all
 // others wait for it.
 func (s *Search) hedgeAt(sh *shard) time.Time {
-	delay := s.deps.HedgeDelay(sh.target.Archive)
+	delay := s.deps.HedgeDelay(sh.target.Archive, sh.live[0].upstream)
 	if s.canary >= 0 {
 		delay /= 2
 	}
@@ -159,7 +159,7 @@
 	if len(sh.replicas)-len(sh.excluded) < 2 || s.verdict() == poison.Suspect {
 		return
 	}
-	if i != s.canary && !s.deps.TakeHedge() {
+	if i != s.canary && !s.deps.TakeHedge(sh.target.Archive, sh.live[0].upstream) {
 		return
 	}
 	s.send(i, true)
--- a/pkg/search/search.go
+++ b/pkg/search/search.go
@@ -42,11 +42,12 @@
 type Deps interface {
 	// Pick chooses a replica that is not excluded.
 	Pick(replicas []*layout.Upstream, excluded []string) (*layout.Upstream, bool)
-	// HedgeDelay is how long an attempt on the archive may take before a
-	// hedge is worth its cost.
-	HedgeDelay(archive string) time.Duration
-	// TakeHedge and TakeRetry spend from the node's budgets.
-	TakeHedge() bool
+	// HedgeDelay is how long an attempt on the archive may take at the
+	// upstream before a hedge is worth its cost.
+	HedgeDelay(archive, upstream string) time.Duration
+	// TakeHedge spends from the node's budget for hedges of attempts at the
+	// upstream, and TakeRetry from that for retries.
+	TakeHedge(archive, upstream string) bool
 	TakeRetry() bool
 	// Backoff is the delay before the nth retry of a shard.
 	Backoff(n int) time.Duration
