--- /dev/null
+++ b/internal/cmds/script_test.go
@@ -0,0 +1,169 @@
+package cmds_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"geraniumstep.org/geraniumstep/internal/cmds"
+	"geraniumstep.org/geraniumstep/internal/wire"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"geraniumstep": func() { os.Exit(cmds.Main(os.Args, os.Stdin, os.Stdout, os.Stderr)) },
+	})
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata/script",
+		Setup: addresses,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"await":  await,
+			"post":   post,
+			"fill":   fill,
+			"signal": signal,
+			"newkey": newkey,
+			"holds":  holds,
+			"resend": resend,
+		},
+		UpdateScripts: os.Getenv("UPDATE_SCRIPTS") != "",
+	})
+}
+
+// addresses gives each script free addresses on loopback: P is the platform's,
+// U1 to U4 are upstreams', and A, B and C are those of nodes.
+func addresses(env *testscript.Env) error {
+	for _, name := range []string{"P", "U1", "U2", "U3", "U4", "A", "AI", "AG", "B", "BI", "BG", "C", "CI", "CG"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		env.Setenv(name, l.Addr().String())
+		if err := l.Close(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// fill replaces $NAME in a file by the environment.
+func fill(ts *testscript.TestScript, neg bool, args []string) {
+	for _, path := range args {
+		text := os.Expand(ts.ReadFile(path), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(path), []byte(text), 0o600))
+	}
+	if neg {
+		ts.Fatalf("fill cannot be negated")
+	}
+}
+
+// signal sends TERM, STOP or CONT to the background command that serves with
+// the settings file named.
+func signal(ts *testscript.TestScript, neg bool, args []string) {
+	signals := map[string]os.Signal{"TERM": syscall.SIGTERM, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
+	for _, c := range ts.BackgroundCmds() {
+		if c.Args[len(c.Args)-1] == args[1] && !neg {
+			ts.Check(c.Process.Signal(signals[args[0]]))
+			return
+		}
+	}
+	ts.Fatalf("no background command ends with %s", args[1])
+}
+
+// newkey sets a variable to a caller's idempotency key made now.
+func newkey(ts *testscript.TestScript, neg bool, args []string) {
+	if neg {
+		ts.Fatalf("newkey cannot be negated")
+	}
+	ts.Setenv(args[0], uuid.Must(uuid.NewV7()).String())
+}
+
+const holdPath = "/v1/workspaces/folders/submissions/hold"
+
+// submit sends a hold and returns the status and the kind of a refusal.
+func submit(ts *testscript.TestScript, node, key string) (int, string) {
+	req, err := http.NewRequest(http.MethodPost, node+holdPath, strings.NewReader(`{"parameters":{"seat":"A7"}}`))
+	ts.Check(err)
+	req.Header.Set("Idempotency-Key", key)
+	res, err := http.DefaultClient.Do(req)
+	ts.Check(err)
+	defer res.Body.Close()
+	var p wire.Problem
+	_ = json.NewDecoder(res.Body).Decode(&p)
+	return res.StatusCode, p.Kind
+}
+
+// holds sends new holds to a node until as many as there are slots have run in
+// a row, so that the node reaches an owner for nearly every key.
+func holds(ts *testscript.TestScript, neg bool, args []string) {
+	const inARow, most = 100, 5000
+	ran := 0
+	for range most {
+		status, _ := submit(ts, args[0], uuid.Must(uuid.NewV7()).String())
+		ran++
+		if status != http.StatusOK {
+			ran = 0
+			time.Sleep(10 * time.Millisecond)
+		}
+		if ran == inARow && !neg {
+			return
+		}
+	}
+	ts.Fatalf("holds did not run through %s", args[0])
+}
+
+// resend sends a key that has run and wants its answer, or that it may have run.
+func resend(ts *testscript.TestScript, neg bool, args []string) {
+	status, kind := submit(ts, args[0], args[1])
+	if ok := status == http.StatusOK || kind == wire.KindUnknown; ok == neg {
+		ts.Fatalf("resent key got status %d, %s", status, kind)
+	}
+}
+
+// await polls a URL until it answers 200, or with ! until it does not.
+func await(ts *testscript.TestScript, neg bool, args []string) {
+	const patience = 30 * time.Second
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		res, err := http.Get(args[0])
+		ok := err == nil && res.StatusCode == http.StatusOK
+		if err == nil {
+			_ = res.Body.Close()
+		}
+		if ok != neg {
+			return
+		}
+	}
+	ts.Fatalf("%s did not change in %v", args[0], patience)
+}
+
+// post sends a request: URL BODY [HEADER: VALUE]... and prints status and body.
+func post(ts *testscript.TestScript, neg bool, args []string) {
+	req, err := http.NewRequest(http.MethodPost, args[0], strings.NewReader(args[1]))
+	ts.Check(err)
+	for _, h := range args[2:] {
+		name, value, _ := strings.Cut(h, ": ")
+		req.Header.Set(name, value)
+	}
+	res, err := http.DefaultClient.Do(req)
+	ts.Check(err)
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	ts.Check(err)
+	_, err = fmt.Fprintf(ts.Stdout(), "%d %s", res.StatusCode, data)
+	ts.Check(err)
+	if ok := res.StatusCode == http.StatusOK; ok == neg {
+		ts.Fatalf("status %d: %s", res.StatusCode, data)
+	}
+}
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -17,7 +17,7 @@
 	repeats = 3
 	// reachTimeout is how long a domain may be silent before it is taken
 	// for unreachable.
-	reachTimeout = 1500 * time.Millisecond
+	reachTimeout = time.Second
 	// syncEvery is the least time between two full comparisons.
 	syncEvery = 2 * time.Second
 	// keepGone is how long the record of a departed member is kept.
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -28,6 +28,9 @@
 	// latencyFresh is how long a service time is believed in full; after that
 	// what it exceeds the initial one by halves in each such time.
 	latencyFresh = 2 * time.Second
+	// clearlyBetter is how much cheaper a replica must be to win over one
+	// that was drawn before it.
+	clearlyBetter = 0.9
 	// waitHalfLife is how fast a reported queueing time loses its weight.
 	waitHalfLife = 200 * time.Millisecond
 	// penaltyTime is how long an upstream that failed is avoided.
@@ -130,7 +133,7 @@
 			continue
 		}
 		cost := stats[u.ID()].cost(now, u.Slots(), p, random)
-		if best == nil || cost < bestCost {
+		if best == nil || cost < bestCost*clearlyBetter {
 			best, bestCost = u, cost
 		}
 	}
