search, front, member: keep the bound of two upstreams per poisonous request

A survivor of two nodes never declared the other dead, as it heard from nobody (script pause). Change: the health poll that finds an upstream gone holds the crash against requests in flight or just cancelled; a suspected search tries the next shard, alone, 50 ms later; reaching the platform proves a member's own health.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -61,7 +61,7 @@
 }
 
 const (
-	startPatience = 6 * time.Second
+	startPatience = 30 * time.Second
 	// afterwards is how long the fleet goes on after the faults have ended.
 	afterwards  = time.Second
 	reviveAfter = 3 * time.Second
--- a/internal/front/health.go
+++ b/internal/front/health.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"syscall"
+	"time"
 
 	"geraniumstep.org/geraniumstep/internal/inner"
 	"geraniumstep.org/geraniumstep/internal/wire"
@@ -13,6 +14,10 @@
 	"geraniumstep.org/geraniumstep/pkg/poison"
 )
 
+// canceledMemory is how long a crash is held against a request whose call was
+// cancelled: a little longer than from one look at the health to the next.
+const canceledMemory = 2 * healthEvery
+
 // believedShare is the part of a front's upstreams, as one in so many, of which
 // the health endpoints are believed when they report a drain.
 const believedShare = 5
@@ -22,6 +27,9 @@
 // incarnation is what ends a drain or an outage.
 func (l *line) checkHealth(ctx context.Context) error {
 	h, err := l.askHealth(ctx)
+	if err != nil && goneAway(err) && l.life.State() == life.UpstreamServing {
+		l.convict(l.incarnation(), l.inFlightNow())
+	}
 	if err != nil || l.saw(h.Started) {
 		return nil
 	}
@@ -138,6 +146,13 @@
 	for _, f := range l.running {
 		list = append(list, f)
 	}
+	for f, at := range l.canceled {
+		if time.Since(at) > canceledMemory {
+			delete(l.canceled, f)
+			continue
+		}
+		list = append(list, f)
+	}
 	return list
 }
 
@@ -157,18 +172,23 @@
 	case err != nil && !goneAway(err):
 		return false
 	}
-	l.mu.Lock()
-	l.crash = crash{started: before, suspect: suspects}
-	l.mu.Unlock()
-	reports := l.front.tracker.Crashed(l.crashID(before), suspects)
-	l.fire(life.SignCrash)
+	l.convict(before, suspects)
 	if err == nil {
 		l.saw(h.Started)
 	}
+	return true
+}
+
+// convict holds a crash against the requests in flight and closes the gate.
+func (l *line) convict(started int64, suspects []poison.Fingerprint) {
+	l.mu.Lock()
+	l.crash = crash{started: started, suspect: suspects}
+	l.mu.Unlock()
+	reports := l.front.tracker.Crashed(l.crashID(started), suspects)
+	l.fire(life.SignCrash)
 	if len(reports) > 0 {
 		l.front.notify(inner.Notices{Reports: reports})
 	}
-	return true
 }
 
 // goneAway tells whether the error shows that no process listens any more.
--- a/internal/front/line.go
+++ b/internal/front/line.go
@@ -35,8 +35,11 @@
 
 	mu      sync.Mutex
 	running map[uint64]poison.Fingerprint
-	started int64
-	crash   crash
+	// canceled holds the requests whose calls were cancelled and when; they
+	// may have crashed the upstream all the same.
+	canceled map[poison.Fingerprint]time.Time
+	started  int64
+	crash    crash
 }
 
 // crash is the last crash that was noticed.
@@ -64,6 +67,7 @@
 		transport: t,
 		gate:      gate.NewShared(opts...),
 		running:   make(map[uint64]poison.Fingerprint),
+		canceled:  make(map[poison.Fingerprint]time.Time),
 	}
 	l.life = life.NewUpstream(l.changed)
 	l.used.Store(time.Now().UnixNano())
@@ -83,7 +87,7 @@
 	l.front.counter.sent.Add(1)
 	l.begin(ticket.ID(), sub.Fingerprint)
 	reply, outcome := l.call(ctx, sub)
-	l.end(ticket.ID())
+	l.end(ticket.ID(), sub.Fingerprint, ctx.Err() != nil)
 	reply.Wait = begun.Sub(arrived)
 	reply.Service = time.Since(begun)
 	l.gate.Release(ticket, reply.Service, outcome)
@@ -97,10 +101,14 @@
 	l.running[id] = f
 }
 
-func (l *line) end(id uint64) {
+// end forgets a request, after a while if its call was cancelled.
+func (l *line) end(id uint64, f poison.Fingerprint, canceled bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.running, id)
+	if canceled {
+		l.canceled[f] = time.Now()
+	}
 }
 
 func causeOf(r gate.Reason) search.Cause {
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -308,6 +308,7 @@
 		if s.watching() {
 			vms, err := s.node.store.VMs(ctx)
 			if err == nil {
+				s.node.members.step(member.Healthy{})
 				s.node.members.listed(vms)
 			}
 		}
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -24,7 +24,7 @@
 	keepGone = 15 * time.Minute
 )
 
-// Event is an input of Step: Tick, Received, Merged, SetReady or Leave.
+// Event is an input of Step: Tick, Received, Merged, Healthy, SetReady or Leave.
 type Event interface{ event() }
 
 // Tick lets time-driven work happen. It is due every quarter of a period.
@@ -42,6 +42,11 @@
 // SetReady changes whether this member takes requests of callers.
 type SetReady struct{ Ready bool }
 
+// Healthy tells that this member has reached the platform, so that silence of
+// the others is not its own fault.
+type Healthy struct{}
+
+func (Healthy) event()  {}
 func (Tick) event()     {}
 func (Received) event() {}
 func (Merged) event()   {}
@@ -191,6 +196,8 @@
 		t.self.Status, t.self.Ready = Left, false
 		t.set(t.self)
 		t.farewell()
+	case Healthy:
+		t.heardAt = time.Now()
 	case SetReady:
 		t.self.Ready = ev.Ready
 		t.assert()
--- a/pkg/member/member_test.go
+++ b/pkg/member/member_test.go
@@ -175,6 +175,27 @@
 	})
 }
 
+// In a fleet of two the survivor hears from nobody, and knows by the platform's
+// answers that the silence is not its own.
+func TestSurvivorOfTwo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(2, 1)
+		c.run(time.Second)
+		c.paused[c.order[0]] = true
+		c.run(5 * time.Second)
+		if got := c.agree(c.order[0], member.Dead); got != 0 {
+			t.Error("a member that hears from nobody declared the other dead")
+		}
+		for range 10 {
+			c.trackers[c.order[1]].Step(member.Healthy{})
+			c.run(500 * time.Millisecond)
+		}
+		if got := c.agree(c.order[0], member.Dead); got != 1 {
+			t.Error("a member that reaches the platform did not declare the other dead")
+		}
+	})
+}
+
 func TestCutDomainIsUnreachableNotDead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(9, 3)
--- a/pkg/search/faults.go
+++ b/pkg/search/faults.go
@@ -45,6 +45,10 @@
 		s.stale = true
 		return
 	}
+	if i == s.canary && cause == CauseCrashed {
+		s.moveCanaryLater()
+		return
+	}
 	if s.mayRetryNow(cause) && s.send(i, false) {
 		return
 	}
@@ -61,6 +65,21 @@
 	s.lose(i)
 }
 
+// suspectDelay is how long a search that has crashed an upstream waits before it
+// runs again, so that the same crash by another node is known by then.
+const suspectDelay = 50 * time.Millisecond
+
+// moveCanaryLater lets the next shard try a suspected search, alone, so that no
+// shard loses two replicas to it.
+func (s *Search) moveCanaryLater() {
+	s.shards[s.canary].state = shardWaiting
+	s.shards[s.canary].excluded = s.shards[s.canary].excluded[:0]
+	s.moved++
+	s.canary = (s.canary + 1) % len(s.shards)
+	s.shards[s.canary].state = shardOpen
+	s.shards[s.canary].retryAt = time.Now().Add(suspectDelay)
+}
+
 // moveCanary sends the first sub-request to the next shard, because no replica
 // of the present one takes it. That shard waits for the others.
 func (s *Search) moveCanary() bool {
