--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	gossipTick     = 50 * time.Millisecond
+	gossipTick     = 25 * time.Millisecond
 	maxDatagram    = 16 << 10
 	viewsTimeout   = 2 * time.Second
 	viewRefresh    = 500 * time.Millisecond
@@ -33,6 +33,7 @@
 	bytesOut atomic.Int64
 	messages atomic.Int64
 	syncing  atomic.Bool
+	changed  atomic.Bool
 }
 
 func newMembers(n *Node) *members {
@@ -80,7 +81,7 @@
 		}
 	}
 	if changed {
-		m.node.rebuildView()
+		m.changed.Store(true)
 	}
 }
 
@@ -152,13 +153,32 @@
 		case <-ticker.C:
 			m.step(member.Tick{})
 		}
-		if time.Since(refreshed) > viewRefresh {
+		if m.changed.Swap(false) || time.Since(refreshed) > viewRefresh && m.reachChanged() {
 			refreshed = time.Now()
 			m.node.rebuildView()
 		}
 	}
 }
 
+// reachChanged tells whether a domain has become reachable or unreachable, or
+// a node that was routed around may be tried again.
+func (m *members) reachChanged() bool {
+	v := m.node.view.Load()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for domain, cut := range v.cut {
+		if cut == m.tracker.Reachable(domain) {
+			return true
+		}
+	}
+	stale := false
+	m.node.shunned.Range(func(addr, _ any) bool {
+		stale = stale || !m.node.shuns(addr.(string))
+		return !stale
+	})
+	return stale
+}
+
 // listed takes the platform's list: new members to greet, and upstreams that leave.
 func (m *members) listed(vms []store.VM) {
 	var records []member.Record
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"sort"
 	"sync"
 
@@ -23,7 +24,14 @@
 	domains map[string][]string
 	cut     map[string]bool
 	ready   []string
-	fronts  sync.Map // upstream identifier to VM
+	// fronts remembers, for each domain, which VM fronts an upstream.
+	fronts map[string]*frontCache
+}
+
+// frontCache remembers the choice of fronts among one list of candidates.
+type frontCache struct {
+	candidates []string
+	chosen     sync.Map // upstream identifier to VM
 }
 
 // newView keeps the members that may front upstreams or own keys.
@@ -33,6 +41,7 @@
 		members: make(map[string]member.Record),
 		domains: make(map[string][]string),
 		cut:     make(map[string]bool),
+		fronts:  make(map[string]*frontCache),
 	}
 	for _, r := range records {
 		v.members[r.VM] = r
@@ -49,23 +58,37 @@
 		sort.Strings(names)
 	}
 	sort.Strings(v.ready)
+	for domain := range v.domains {
+		v.fronts[domain] = &frontCache{candidates: v.candidates(domain)}
+	}
 	return v
 }
 
+// inherit keeps what the view before had chosen in domains whose candidates
+// are the same.
+func (v *view) inherit(old *view) {
+	for domain, cache := range old.fronts {
+		if now, ok := v.fronts[domain]; ok && slices.Equal(now.candidates, cache.candidates) {
+			v.fronts[domain] = cache
+		}
+	}
+}
+
 // front is the node that fronts the upstream. It reports false when the
 // upstream's failure domain has no live node or is cut off.
 func (v *view) front(u *layout.Upstream) (member.Record, bool) {
-	if v.cut[u.Domain()] {
+	cache, ok := v.fronts[u.Domain()]
+	if !ok || v.cut[u.Domain()] {
 		return member.Record{}, false
 	}
-	if name, ok := v.fronts.Load(u.ID()); ok {
+	if name, ok := cache.chosen.Load(u.ID()); ok {
 		return v.members[name.(string)], true
 	}
-	name := route.Owner(u.ID(), v.candidates(u.Domain()))
+	name := route.Owner(u.ID(), cache.candidates)
 	if name == "" {
 		return member.Record{}, false
 	}
-	v.fronts.Store(u.ID(), name)
+	cache.chosen.Store(u.ID(), name)
 	return v.members[name], true
 }
 
@@ -122,6 +145,9 @@
 func (n *Node) rebuildView() {
 	records, reachable := n.members.snapshot()
 	next := newView(n.set.VM, n.withoutShunned(records), reachable)
+	if old := n.view.Load(); old != nil {
+		next.inherit(old)
+	}
 	old := n.view.Swap(next)
 	if old == nil {
 		return
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -20,6 +20,8 @@
 	reachTimeout = time.Second
 	// syncEvery is the least time between two full comparisons.
 	syncEvery = 2 * time.Second
+	// forgetEvery is the least time between two looks for records to drop.
+	forgetEvery = time.Minute
 	// keepGone is how long the record of a departed member is kept.
 	keepGone = 15 * time.Minute
 )
@@ -89,7 +91,13 @@
 	suspicion time.Duration
 	perSend   int
 
-	members  map[string]*entry
+	members map[string]*entry
+	// byDomain lists the names of each domain's members, and names the
+	// domains, so that no probe looks through the whole fleet.
+	byDomain map[string][]string
+	names    []string
+	suspects map[string]bool
+	dead     map[string]bool
 	news     []*entry
 	ring     []string
 	domains  map[string]time.Time
@@ -100,6 +108,7 @@
 	next     time.Time
 	synced   time.Time
 	heardAt  time.Time
+	forgot   time.Time
 	digest   uint64
 	versions Versions
 	out      []Action
@@ -149,6 +158,9 @@
 		suspicion: defaultSuspicion,
 		perSend:   defaultPerSend,
 		members:   make(map[string]*entry),
+		byDomain:  make(map[string][]string),
+		suspects:  make(map[string]bool),
+		dead:      make(map[string]bool),
 		domains:   make(map[string]time.Time),
 		relayed:   make(map[uint64]relay),
 	}
@@ -250,7 +262,7 @@
 	if !known {
 		e = &entry{}
 		t.members[r.VM] = e
-		t.ring = nil
+		t.enlist(r)
 	} else {
 		t.digest ^= e.record.sum()
 	}
@@ -259,6 +271,7 @@
 	}
 	e.record = r
 	e.changedAt = time.Now()
+	t.mark(r)
 	t.digest ^= r.sum()
 	if e.sends == 0 {
 		t.news = append(t.news, e)
@@ -267,6 +280,31 @@
 	t.out = append(t.out, Changed{Record: r})
 }
 
+// enlist adds a new member to its domain.
+func (t *Tracker) enlist(r Record) {
+	if r.Domain == t.self.Domain {
+		t.ring = nil
+	}
+	if _, known := t.byDomain[r.Domain]; !known {
+		t.names = append(t.names, r.Domain)
+		sort.Strings(t.names)
+	}
+	t.byDomain[r.Domain] = append(t.byDomain[r.Domain], r.VM)
+}
+
+// mark keeps the lists of suspects and dead.
+func (t *Tracker) mark(r Record) {
+	delete(t.suspects, r.VM)
+	delete(t.dead, r.VM)
+	switch r.Status {
+	case Suspect:
+		t.suspects[r.VM] = true
+	case Dead:
+		t.dead[r.VM] = true
+	case Alive, Left:
+	}
+}
+
 // copies is how often a piece of news is sent.
 func (t *Tracker) copies() int {
 	n := repeats
--- a/pkg/member/probe.go
+++ b/pkg/member/probe.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -47,20 +48,29 @@
 				return name, true
 			}
 		}
-		t.ring = t.peers(func(r Record) bool { return r.Domain == t.self.Domain && r.Status < Dead })
+		t.ring = t.peers(func(r Record) bool { return r.Status < Dead })
 		t.random.Shuffle(len(t.ring), func(i, j int) { t.ring[i], t.ring[j] = t.ring[j], t.ring[i] })
 	}
 	return "", false
 }
 
-// peers lists other members that satisfy the condition, in order of names.
+// peers lists other members of this domain that satisfy the condition.
 func (t *Tracker) peers(want func(Record) bool) []string {
 	var list []string
-	for name, e := range t.members {
-		if name != t.self.VM && want(e.record) {
+	for _, name := range t.byDomain[t.self.Domain] {
+		if e, ok := t.members[name]; ok && name != t.self.VM && want(e.record) {
 			list = append(list, name)
 		}
 	}
+	return list
+}
+
+// sorted lists the names of a set in order, so that equal seeds draw alike.
+func sorted(set map[string]bool) []string {
+	list := make([]string, 0, len(set))
+	for name := range set {
+		list = append(list, name)
+	}
 	sort.Strings(list)
 	return list
 }
@@ -68,14 +78,17 @@
 // probeRemote probes one member of one other domain in turn, and now and then
 // one that is taken for dead, so that a healed partition is noticed.
 func (t *Tracker) probeRemote() {
-	names := t.domainNames()
-	if len(names) > 0 {
+	t.remote++
+	domain := t.names[t.remote%len(t.names)]
+	if domain == t.self.Domain {
 		t.remote++
-		domain := names[t.remote%len(names)]
-		t.probeOne(t.peers(func(r Record) bool { return r.Domain == domain && r.Status < Dead }))
+		domain = t.names[t.remote%len(t.names)]
+	}
+	if domain != t.self.Domain {
+		t.probeOne(t.byDomain[domain])
 	}
-	if t.random.IntN(4) == 0 {
-		t.probeOne(t.peers(func(r Record) bool { return r.Status == Dead }))
+	if len(t.dead) > 0 && t.random.IntN(4) == 0 {
+		t.probeOne(sorted(t.dead))
 	}
 }
 
@@ -83,23 +96,12 @@
 	if len(candidates) == 0 {
 		return
 	}
-	name := candidates[t.random.IntN(len(candidates))]
-	t.seq++
-	t.send(t.members[name].record.Gossip, Message{Kind: Probe, Seq: t.seq})
-}
-
-func (t *Tracker) domainNames() []string {
-	seen := map[string]bool{}
-	var names []string
-	for _, e := range t.members {
-		d := e.record.Domain
-		if d != t.self.Domain && !seen[d] {
-			seen[d] = true
-			names = append(names, d)
-		}
+	e, ok := t.members[candidates[t.random.IntN(len(candidates))]]
+	if !ok || e.record.Status == Left {
+		return
 	}
-	sort.Strings(names)
-	return names
+	t.seq++
+	t.send(e.record.Gossip, Message{Kind: Probe, Seq: t.seq})
 }
 
 // judgeProbe asks others to probe a silent member, then suspects it.
@@ -120,7 +122,7 @@
 
 func (t *Tracker) askHelpers() {
 	helpers := t.peers(func(r Record) bool {
-		return r.Domain == t.self.Domain && r.Status == Alive && r.VM != t.probe.target
+		return r.Status == Alive && r.VM != t.probe.target
 	})
 	t.random.Shuffle(len(helpers), func(i, j int) { helpers[i], helpers[j] = helpers[j], helpers[i] })
 	for _, h := range helpers[:min(defaultHelpers, len(helpers))] {
@@ -145,9 +147,9 @@
 	if now.Sub(t.heardAt) > t.suspicion {
 		return
 	}
-	for _, name := range t.peers(func(r Record) bool { return r.Status == Suspect && r.Domain == t.self.Domain }) {
+	for _, name := range sorted(t.suspects) {
 		e := t.members[name]
-		if now.Sub(e.changedAt) < t.suspicion {
+		if e.record.Domain != t.self.Domain || now.Sub(e.changedAt) < t.suspicion {
 			continue
 		}
 		r := e.record
@@ -158,10 +160,17 @@
 
 // forget drops the records of members that have long gone.
 func (t *Tracker) forget(now time.Time) {
+	if now.Sub(t.forgot) < forgetEvery {
+		return
+	}
+	t.forgot = now
 	for name, e := range t.members {
 		if e.record.Status >= Dead && e.sends == 0 && now.Sub(e.changedAt) > keepGone {
 			t.digest ^= e.record.sum()
 			delete(t.members, name)
+			delete(t.dead, name)
+			list := t.byDomain[e.record.Domain]
+			t.byDomain[e.record.Domain] = slices.DeleteFunc(list, func(s string) bool { return s == name })
 		}
 	}
 }
@@ -273,11 +282,15 @@
 
 // farewell tells a few members of every domain at once that this one leaves.
 func (t *Tracker) farewell() {
-	all := t.peers(func(r Record) bool { return r.Status < Dead })
-	t.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	const tell = 6
-	for _, name := range all[:min(tell, len(all))] {
-		t.seq++
-		t.send(t.members[name].record.Gossip, Message{Kind: Probe, Seq: t.seq})
+	const tell = 3
+	own := t.peers(func(r Record) bool { return r.Status < Dead })
+	t.random.Shuffle(len(own), func(i, j int) { own[i], own[j] = own[j], own[i] })
+	for _, name := range own[:min(tell, len(own))] {
+		t.probeOne([]string{name})
+	}
+	for _, domain := range t.names {
+		if domain != t.self.Domain {
+			t.probeOne(t.byDomain[domain])
+		}
 	}
 }
--- a/pkg/search/search_test.go
+++ b/pkg/search/search_test.go
@@ -60,7 +60,7 @@
 }
 
 // catalogue has one archive "a" of two replicas to a shard.
-func catalogue(t *testing.T, shards int) *layout.Catalogue {
+func catalogue(t testing.TB, shards int) *layout.Catalogue {
 	t.Helper()
 	spec := layout.Spec{Revision: 1, Archives: []layout.ArchiveSpec{{Name: "a", Version: 3}}}
 	for s := range shards {
@@ -381,3 +381,25 @@
 		}
 	})
 }
+
+// BenchmarkSearch measures the decisions of one whole search.
+func BenchmarkSearch(b *testing.B) {
+	for _, shards := range []int{20, 50, 630} {
+		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
+			d := newDeps(true)
+			plan := search.Plan{
+				Request: "r", Catalogue: catalogue(b, shards), Archives: []string{"a"}, Merge: search.MergeTopK, Limit: 10,
+				Fingerprint: print,
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				plan.Deadline = time.Now().Add(time.Minute)
+				s := search.New(plan, d)
+				for _, send := range append([]search.Send(nil), sends(s.Step(search.Start{}))...) {
+					s.Step(replyTo(send))
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(shards), "ns/sub-request")
+		})
+	}
+}
