gate, lease: reopen a door that a fault has shut; bound leases by slots

Each node renewed a lease, though at most as many nodes as there are slots own one. Change: a strict gate never refuses while a slot is free; a node that should own no slot renews no lease; preferred owners are chosen when the live list changes.

--- a/internal/demo/check.go
+++ b/internal/demo/check.go
@@ -79,6 +79,7 @@
 	coverage   float64
 	answers    int64
 	samples    []sample
+	refused    map[string]int
 	found      Violations
 	notes      []string
 }
@@ -96,6 +97,7 @@
 		layouts:    make(map[uint64]map[string]version),
 		requests:   make(map[string]string),
 		notRunKeys: make(map[string]bool),
+		refused:    make(map[string]int),
 	}
 	for _, t := range d.templates {
 		c.templates[t.Name] = t
@@ -145,6 +147,9 @@
 func (c *checker) count(q call, r result, took time.Duration) {
 	o := &c.outcomes[q.priority]
 	o.Sent++
+	if r.problem != nil {
+		c.refused[q.priority.String()+" "+q.template+" "+r.problem.Kind+": "+r.problem.Detail]++
+	}
 	switch {
 	case r.answer != nil:
 		o.Answered++
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -49,15 +49,17 @@
 	UpstreamsCrashed int                `json:"upstreams_crashed"`
 	// CrashedPerRequest is the largest number of upstreams that one request
 	// crashed.
-	CrashedPerRequest int            `json:"upstreams_crashed_per_request"`
-	Violations        Violations     `json:"violations"`
-	Notes             []string       `json:"notes,omitempty"`
-	PlatformCalls     map[string]int `json:"platform_calls"`
-	MostConns         int            `json:"most_connections"`
-	Goroutines        int            `json:"goroutines"`
-	HeapBytes         uint64         `json:"heap_bytes"`
-	samples           []sample
-	targets           [prio.Count]time.Duration
+	CrashedPerRequest int        `json:"upstreams_crashed_per_request"`
+	Violations        Violations `json:"violations"`
+	// Refusals counts the refusals by priority, template, kind and detail.
+	Refusals      map[string]int `json:"refusals,omitempty"`
+	Notes         []string       `json:"notes,omitempty"`
+	PlatformCalls map[string]int `json:"platform_calls"`
+	MostConns     int            `json:"most_connections"`
+	Goroutines    int            `json:"goroutines"`
+	HeapBytes     uint64         `json:"heap_bytes"`
+	samples       []sample
+	targets       [prio.Count]time.Duration
 }
 
 const (
@@ -133,7 +135,7 @@
 		Deployment: f.deployment.name, Seed: o.Seed, Fault: strings.Join(o.Faults, ","),
 		FaultApplied: len(o.Faults) > 0, Priorities: outcomes, CoverageMean: coverage,
 		HoldsRun: totals.Holds, UpstreamsCrashed: totals.Crashes, CrashedPerRequest: totals.MostCrashes,
-		Violations: violations, Notes: check.notes, PlatformCalls: f.platform.Calls(), HeapBytes: memory.HeapAlloc,
+		Violations: violations, Notes: check.notes, Refusals: check.refused, PlatformCalls: f.platform.Calls(), HeapBytes: memory.HeapAlloc,
 		GoodputRatio: f.goodput(took), samples: check.samples,
 	}
 	for _, name := range o.Faults {
--- a/internal/node/slope_test.go
+++ b/internal/node/slope_test.go
@@ -14,6 +14,7 @@
 	"geraniumstep.org/geraniumstep/pkg/config"
 	"geraniumstep.org/geraniumstep/pkg/dedup"
 	"geraniumstep.org/geraniumstep/pkg/layout"
+	"geraniumstep.org/geraniumstep/pkg/lease"
 	"geraniumstep.org/geraniumstep/pkg/member"
 	"geraniumstep.org/geraniumstep/pkg/poison"
 	"geraniumstep.org/geraniumstep/pkg/prio"
@@ -154,6 +155,7 @@
 			t := member.New(list[0], rand.New(rand.NewPCG(1, 1)))
 			t.Step(member.Merged{Records: list})
 			msg := member.Message{Kind: member.Probe, From: list[12%n].VM, Records: []member.Record{list[12%n]}}
+			size := 0
 			for b.Loop() {
 				data, err := msgpack.Marshal(msg)
 				if err != nil {
@@ -163,9 +165,11 @@
 				if err := msgpack.Unmarshal(data, &got); err != nil {
 					b.Fatal(err)
 				}
+				size = len(data)
 				t.Step(member.Received{Message: got})
 				t.Step(member.Tick{})
 			}
+			b.ReportMetric(float64(size), "bytes/record")
 		})
 	}
 }
@@ -210,3 +214,19 @@
 	}
 	b.ReportMetric(float64(len(data))/31000, "stored-bytes/upstream")
 }
+
+// BenchmarkSlopeLease measures a tick of the lease keeper.
+func BenchmarkSlopeLease(b *testing.B) {
+	for _, n := range []int{9, 625, 7500} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			var live []string
+			for _, r := range records(n, 12) {
+				live = append(live, ownerName(r.VM, r.Started))
+			}
+			k := lease.New(live[0])
+			for b.Loop() {
+				k.Step(lease.Tick{Live: live})
+			}
+		})
+	}
+}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -190,8 +190,10 @@
 // limit. The default is 1.
 func WithIncrease(step float64) Option { return func(g *Gate) { g.increase = step } }
 
-// WithStrict refuses what would miss its deadline by the plain estimate. By
-// default a ticket is refused only if it would even with half the estimate.
+// WithStrict refuses what would have to wait beyond its deadline. By default a
+// ticket is refused if it would miss its deadline even with half the estimate of
+// wait and service. A strict gate never refuses while a slot is free, so an
+// estimate that was spoilt by a fault cannot keep it shut.
 func WithStrict() Option { return func(g *Gate) { g.strict = true } }
 
 // WithFIFO serves in order of arrival, ignoring priority. It is the baseline
@@ -354,11 +356,10 @@
 // late tells whether the ticket would miss its deadline.
 func (g *Gate) late(t Ticket) bool {
 	wait := g.wait(t.priority, g.ahead(t.priority))
-	need := wait + g.service
-	if !g.strict {
-		need /= 2
+	if g.strict {
+		return wait > 0 && time.Until(t.deadline) < wait
 	}
-	return time.Until(t.deadline) < need
+	return time.Until(t.deadline) < (wait+g.service)/2
 }
 
 // ahead counts the waiting tickets that would run before one of the priority.
--- a/pkg/gate/gate_test.go
+++ b/pkg/gate/gate_test.go
@@ -94,6 +94,22 @@
 	})
 }
 
+// A door whose last tickets took very long must not refuse while it is idle,
+// or nothing would ever correct its estimate.
+func TestStrictGateOpensAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gate.New(gate.WithSlots(2), gate.WithStrict())
+		for id := range uint64(50) {
+			tk := ticket(id+1, prio.Urgent, "w", time.Second)
+			g.Step(gate.Arrive{Ticket: tk})
+			g.Step(gate.Finish{Ticket: tk, Service: 10 * time.Second})
+		}
+		if ids := dispatched(g.Step(gate.Arrive{Ticket: ticket(99, prio.Urgent, "w", 100*time.Millisecond)})); len(ids) != 1 {
+			t.Error("an idle gate refused a ticket for what earlier ones took")
+		}
+	})
+}
+
 func TestFullQueueDropsTheLeastUrgent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gate.New(gate.WithSlots(2), gate.WithQueue(2))
--- a/pkg/lease/keeper.go
+++ b/pkg/lease/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -19,6 +20,10 @@
 	fenceOff bool
 	skew     time.Duration
 
+	live      []string
+	owners    []string
+	preferred bool
+
 	version  uint64
 	expires  time.Time
 	writing  bool
@@ -174,7 +179,10 @@
 }
 
 func (k *Keeper) tick(now time.Time, live []string) {
-	k.renew(now)
+	k.prefer(live)
+	if k.leaving || len(k.owned) > 0 || k.preferred {
+		k.renew(now)
+	}
 	if k.version == 0 {
 		return
 	}
@@ -184,7 +192,7 @@
 	}
 	probes := 0
 	for n := range k.slots {
-		owner := Preferred(n, live)
+		owner := k.owners[n]
 		switch s := k.owned[n]; {
 		case s != nil && owner != k.base && owner != "":
 			k.handOver(n, s, owner)
@@ -204,6 +212,21 @@
 	return ok && now.Sub(h.at) > handoverTimeout
 }
 
+// prefer chooses the owner that each slot should have, when the live ones have
+// changed. A node that should own none needs no lease.
+func (k *Keeper) prefer(live []string) {
+	if k.owners != nil && slices.Equal(live, k.live) {
+		return
+	}
+	k.live = append(k.live[:0], live...)
+	k.owners = make([]string, k.slots)
+	k.preferred = false
+	for n := range k.owners {
+		k.owners[n] = Preferred(n, live)
+		k.preferred = k.preferred || k.owners[n] == k.base
+	}
+}
+
 // renew writes the lease when a third of it has passed.
 func (k *Keeper) renew(now time.Time) {
 	if k.writing || k.released || now.Before(k.renewAt) {
