--- /dev/null
+++ b/internal/inner/inner_test.go
@@ -0,0 +1,128 @@
+package inner_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/goleak"
+
+	"geraniumstep.org/geraniumstep/internal/inner"
+	"geraniumstep.org/geraniumstep/pkg/member"
+	"geraniumstep.org/geraniumstep/pkg/prio"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Node answers a sub-request with its own priority, after a while.
+type Node struct{ delay time.Duration }
+
+// Run echoes the request.
+func (n *Node) Run(sub *inner.Sub, reply *inner.SubReply) error {
+	time.Sleep(n.delay)
+	reply.OK = sub.Priority == prio.Urgent
+	reply.Reply.Request = sub.Request
+	return nil
+}
+
+// serve runs a node and returns its address and a function that ends it.
+func serve(t *testing.T, n *Node) (string, func()) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := rpc.NewServer()
+	if err := server.RegisterName(inner.Service, n); err != nil {
+		t.Fatal(err)
+	}
+	var conns []net.Conn
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns = append(conns, conn)
+			go server.ServeCodec(inner.NewServerCodec(conn))
+		}
+	}()
+	return l.Addr().String(), func() {
+		_ = l.Close()
+		<-done
+		for _, c := range conns {
+			_ = c.Close()
+		}
+	}
+}
+
+func dial(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+func call(p *inner.Peers, addr string, patience time.Duration) (inner.SubReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var reply inner.SubReply
+	err := p.Call(ctx, addr, inner.MethodRun, &inner.Sub{Request: "r", Priority: prio.Urgent}, &reply)
+	return reply, err
+}
+
+func TestCallRoundTrip(t *testing.T) {
+	addr, stop := serve(t, &Node{})
+	defer stop()
+	p := inner.NewPeers(dial)
+	defer p.Close()
+	reply, err := call(p, addr, time.Minute)
+	if err != nil || !reply.OK || reply.Reply.Request != "r" {
+		t.Errorf("Call() = %+v, %v, want the request echoed", reply, err)
+	}
+}
+
+// A call is ErrUnsent only when nothing can have reached the peer.
+func TestErrorsTellWhatWasSent(t *testing.T) {
+	p := inner.NewPeers(dial)
+	defer p.Close()
+	addr, stop := serve(t, &Node{delay: 300 * time.Millisecond})
+	if _, err := call(p, addr, 50*time.Millisecond); !errors.Is(err, inner.ErrBroken) || errors.Is(err, inner.ErrUnsent) {
+		t.Errorf("Call() that ran out of time = %v, want ErrBroken", err)
+	}
+	result := make(chan error, 1)
+	go func() {
+		_, err := call(p, addr, time.Minute)
+		result <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	stop()
+	if err := <-result; !errors.Is(err, inner.ErrBroken) {
+		t.Errorf("Call() whose connection broke = %v, want ErrBroken", err)
+	}
+	if _, err := call(p, addr, time.Minute); !errors.Is(err, inner.ErrUnsent) {
+		t.Errorf("Call() to a closed port = %v, want ErrUnsent", err)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, v := range []any{inner.Sub{Request: "r"}, inner.TakeOver{Slot: 1}, member.Message{From: "a", Records: []member.Record{{VM: "a"}}}} {
+		data, err := msgpack.Marshal(v)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_ = msgpack.Unmarshal(data, &inner.Sub{})
+		_ = msgpack.Unmarshal(data, &inner.SubReply{})
+		_ = msgpack.Unmarshal(data, &inner.TakeOver{})
+		_ = msgpack.Unmarshal(data, &inner.PullReply{})
+		_ = msgpack.Unmarshal(data, &inner.Views{})
+		_ = msgpack.Unmarshal(data, &member.Message{})
+	})
+}
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -142,7 +142,7 @@
 		Leases: Leases{TTL: 10 * time.Second, Margin: 500 * time.Millisecond, Slots: 64, Window: 5 * time.Minute},
 		Routing: Routing{
 			Mode: "front", Policy: "least-cost", Queue: "priority",
-			Hedge: true, HedgeQuantile: 0.99, HedgeBudget: 0.018, RescueBudget: 0.03, RetryBudget: 0.1,
+			Hedge: true, HedgeQuantile: 0.99, HedgeBudget: 0.015, RescueBudget: 0.03, RetryBudget: 0.1,
 			Canary: true, Claimants: 3, StandardShare: 0.08, BulkShare: 0.04,
 		},
 		Stop: Stop{Notice: 2 * time.Second, Grace: 15 * time.Second},
--- a/pkg/search/search_test.go
+++ b/pkg/search/search_test.go
@@ -49,12 +49,13 @@
 
 func (d *fakeDeps) Succeeded(f poison.Fingerprint) { d.tracker.Succeeded(f) }
 
-const print = poison.Fingerprint(7)
+// equal is the fingerprint of all searches of these tests.
+const equal = poison.Fingerprint(7)
 
 func newDeps(proven bool) *fakeDeps {
 	d := &fakeDeps{tracker: poison.New(), hedges: 100, retries: 100}
 	if proven {
-		d.tracker.Succeeded(print)
+		d.tracker.Succeeded(equal)
 	}
 	return d
 }
@@ -83,7 +84,7 @@
 	t.Helper()
 	return search.New(search.Plan{
 		Request: "r", Catalogue: catalogue(t, shards), Archives: []string{"a"}, Merge: search.MergeConcat,
-		Deadline: time.Now().Add(time.Second), Fingerprint: print,
+		Deadline: time.Now().Add(time.Second), Fingerprint: equal,
 	}, d)
 }
 
@@ -308,7 +309,7 @@
 			}
 			shard = pending[0].Target.Shard
 			crashed++
-			d.tracker.Crashed(pending[0].Upstream.ID(), []poison.Fingerprint{print})
+			d.tracker.Crashed(pending[0].Upstream.ID(), []poison.Fingerprint{equal})
 			actions := s.Step(search.Failed{Attempt: pending[0].Attempt, Cause: search.CauseCrashed})
 			if result, ok := finish(actions); ok && result.Kind != search.KindQuarantined {
 				t.Errorf("Kind = %v, want %v", result.Kind, search.KindQuarantined)
@@ -349,7 +350,7 @@
 		s := search.New(search.Plan{
 			Request: "r", Catalogue: catalogue(t, 4), Archives: []string{"a"}, Merge: search.MergeConcat,
 			Deadline: time.Now().Add(time.Second), SoftDeadline: time.Now().Add(100 * time.Millisecond),
-			MinCoverage: 0.75, Fingerprint: print,
+			MinCoverage: 0.75, Fingerprint: equal,
 		}, d)
 		started := append([]search.Send(nil), sends(s.Step(search.Start{}))...)
 		s.Step(replyTo(started[0]))
@@ -369,7 +370,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := search.New(search.Plan{
 			Request: "r", Catalogue: catalogue(t, 3), Archives: []string{"a"}, Merge: search.MergeTopK, Limit: 2,
-			Deadline: time.Now().Add(time.Second), Fingerprint: print,
+			Deadline: time.Now().Add(time.Second), Fingerprint: equal,
 		}, newDeps(true))
 		started := append([]search.Send(nil), sends(s.Step(search.Start{}))...)
 		var result search.Result
@@ -389,7 +390,7 @@
 			d := newDeps(true)
 			plan := search.Plan{
 				Request: "r", Catalogue: catalogue(b, shards), Archives: []string{"a"}, Merge: search.MergeTopK, Limit: 10,
-				Fingerprint: print,
+				Fingerprint: equal,
 			}
 			b.ReportAllocs()
 			for b.Loop() {
