--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -104,7 +104,6 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
-	begun := time.Now()
 	var all, faults sync.WaitGroup
 	all.Go(func() { load.run(ctx, rate) })
 	all.Go(func() { probe.run(ctx) })
@@ -112,6 +111,8 @@
 	all.Go(func() { check.progress(ctx, o) })
 	faultTime, stop := context.WithTimeout(ctx, o.Duration-afterwards)
 	defer stop()
+	goodput := 0.0
+	all.Go(func() { goodput = f.goodput(faultTime) })
 	for _, name := range o.Faults {
 		faults.Go(func() {
 			if wait(faultTime, min(settle, o.Duration/5)) {
@@ -121,12 +122,13 @@
 	}
 	faults.Wait()
 	all.Wait()
-	report := f.report(o, check, in, time.Since(begun))
+	report := f.report(o, check, in)
+	report.GoodputRatio = goodput
 	report.Goroutines = runtime.NumGoroutine()
 	return report, report.write(o.ReportDir)
 }
 
-func (f *fleet) report(o Options, check *checker, in *injector, took time.Duration) *Report {
+func (f *fleet) report(o Options, check *checker, in *injector) *Report {
 	violations, outcomes, coverage := check.finish()
 	totals := f.ledger.Totals()
 	var memory runtime.MemStats
@@ -136,7 +138,7 @@
 		FaultApplied: len(o.Faults) > 0, Priorities: outcomes, CoverageMean: coverage,
 		HoldsRun: totals.Holds, UpstreamsCrashed: totals.Crashes, CrashedPerRequest: totals.MostCrashes,
 		Violations: violations, Notes: check.notes, Refusals: check.refused, PlatformCalls: f.platform.Calls(), HeapBytes: memory.HeapAlloc,
-		GoodputRatio: f.goodput(took), samples: check.samples,
+		samples: check.samples,
 	}
 	for _, name := range o.Faults {
 		r.FaultApplied = r.FaultApplied && in.applied[name]
@@ -153,16 +155,26 @@
 	return r
 }
 
-// goodput is the share of the busiest archive's slot time that went into
-// answers that were given whole.
-func (f *fleet) goodput(took time.Duration) float64 {
-	useful := time.Duration(0)
+// goodput is the share of the busiest archive's slot time, from when the faults
+// have begun to the context's end, that went into answers that were given whole.
+func (f *fleet) goodput(ctx context.Context) float64 {
+	wait(ctx, settle+settle/2)
+	begun, before := time.Now(), f.useful()
+	<-ctx.Done()
 	slots := 0
 	for _, u := range f.byArchive[f.deployment.busiest] {
-		useful += u.Useful()
 		slots += u.Slots()
 	}
-	return useful.Seconds() / (float64(slots) * took.Seconds())
+	return (f.useful() - before).Seconds() / (float64(slots) * time.Since(begun).Seconds())
+}
+
+// useful is the service time of all whole answers of the busiest archive.
+func (f *fleet) useful() time.Duration {
+	sum := time.Duration(0)
+	for _, u := range f.byArchive[f.deployment.busiest] {
+		sum += u.Useful()
+	}
+	return sum
 }
 
 // progress writes a line each second.
--- a/internal/node/admit.go
+++ b/internal/node/admit.go
@@ -22,11 +22,13 @@
 	patience = 5 * time.Millisecond
 	// overloadMemory is how long a sign of overload keeps hedges off.
 	overloadMemory = time.Second
-	// waitShare is the part of its latency target that a search may spend
-	// queueing at upstreams before that counts as overload.
-	waitShare = 8
 )
 
+// waitShare is the part of its latency target, as one in so many, that a
+// search of a priority may spend queueing at upstreams before that counts as
+// overload. Bulk work waits longer, so that it fills every slot left to it.
+var waitShare = [prio.Count]time.Duration{prio.Urgent: 8, prio.Standard: 8, prio.Bulk: 2}
+
 // admission decides at the door which searches this node takes on, so that
 // what the fleet cannot serve in time is refused before any upstream saw it.
 type admission struct {
--- a/internal/node/search.go
+++ b/internal/node/search.go
@@ -271,9 +271,10 @@
 // noteLoad tells the admission as soon as a part of the sub-requests has queued
 // too long, which may be long before the search ends.
 func (run *searchRun) noteLoad(ev search.Event) {
+	w := run.resolved.workspace
 	switch ev := ev.(type) {
 	case search.Replied:
-		if ev.Wait > run.resolved.workspace.Target()/waitShare {
+		if ev.Wait > w.Target()/waitShare[w.Priority()] {
 			run.queued++
 		}
 	case search.Failed:
