route: let the least urgent work find out whether a slow replica has recovered

Change: what made a replica look slow is believed for 4 s by urgent work, 2 s by standard, 1 s by bulk; an answer that bulk gets holds for all.

--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -25,9 +25,6 @@
 const (
 	initialLatency = 10 * time.Millisecond
 	latencySmooth  = 0.6
-	// latencyFresh is how long a service time is believed in full; after that
-	// what it exceeds the initial one by halves in each such time.
-	latencyFresh = 2 * time.Second
 	// clearlyBetter is how much cheaper a replica must be to win over one
 	// that was drawn before it.
 	clearlyBetter = 0.9
@@ -44,6 +41,10 @@
 	exploreUrgent = 0.002
 )
 
+// latencyFresh is how long work of a priority believes a service time in full;
+// after that what it exceeds the initial one by halves in each such time.
+var latencyFresh = [prio.Count]time.Duration{prio.Bulk: time.Second, prio.Standard: 2 * time.Second, prio.Urgent: 4 * time.Second}
+
 // Table holds what a node knows of every upstream. It is safe for concurrent use.
 type Table struct {
 	stats  atomic.Pointer[map[string]*Stats]
@@ -168,7 +169,7 @@
 	}
 	cost := 0.0
 	if !random {
-		latency := s.expected(now).Seconds()
+		latency := s.expected(now, p).Seconds()
 		own := latency * float64(s.inFlight.Load()) / float64(slots)
 		cost = latency + max(own, s.agedWait(now, p).Seconds())
 	}
@@ -182,19 +183,21 @@
 }
 
 // Expected is the service time to expect of the upstream now.
-func (s *Stats) Expected() time.Duration { return s.expected(time.Now()) }
+func (s *Stats) Expected() time.Duration { return s.expected(time.Now(), prio.Urgent) }
 
 // expected is the usual service time, or the time since the last progress if
 // that is longer. What made the upstream look slow loses its weight with time,
-// so that it is tried again.
-func (s *Stats) expected(now time.Time) time.Duration {
+// so that it is tried again, by the least urgent work first: what that finds
+// out holds for all.
+func (s *Stats) expected(now time.Time, p prio.Priority) time.Duration {
 	latency := time.Duration(s.latency.Load())
 	if s.inFlight.Load() > 0 {
 		latency = max(latency, time.Duration(now.UnixNano()-s.progress.Load()))
 	}
 	age := time.Duration(now.UnixNano() - s.latencyAt.Load())
-	if excess := latency - initialLatency; excess > 0 && age > latencyFresh {
-		latency = initialLatency + time.Duration(float64(excess)*math.Exp2(-(age-latencyFresh).Seconds()/latencyFresh.Seconds()))
+	fresh := latencyFresh[p]
+	if excess := latency - initialLatency; excess > 0 && age > fresh {
+		latency = initialLatency + time.Duration(float64(excess)*math.Exp2(-(age-fresh).Seconds()/fresh.Seconds()))
 	}
 	return latency
 }
