--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -94,6 +94,7 @@
 	if err != nil {
 		return
 	}
+	data = m.node.secure.gossip.Seal(data)
 	m.bytesOut.Add(int64(len(data)))
 	m.messages.Add(1)
 	_, _ = m.node.packets.WriteTo(data, addr)
@@ -133,7 +134,11 @@
 			return nil
 		}
 		var msg member.Message
-		if err := msgpack.Unmarshal(buffer[:size], &msg); err != nil {
+		data, err := m.node.secure.gossip.Unseal(buffer[:size])
+		if err == nil {
+			err = msgpack.Unmarshal(data, &msg)
+		}
+		if err != nil {
 			m.node.metrics.malformed.Inc()
 			continue
 		}
--- a/internal/node/secure.go
+++ b/internal/node/secure.go
@@ -17,6 +17,7 @@
 	caller   *certs.Source
 	inner    *certs.Source
 	upstream *certs.Source
+	gossip   *certs.Sealer
 }
 
 func (s *secure) load(set setup.TLS) error {
@@ -27,7 +28,10 @@
 	if s.inner, err = certs.Open(set.Inner); err != nil {
 		return err
 	}
-	s.upstream, err = certs.Open(set.Upstream)
+	if s.upstream, err = certs.Open(set.Upstream); err != nil {
+		return err
+	}
+	s.gossip, err = certs.OpenSealer(set.GossipKey)
 	return err
 }
 
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -108,6 +108,9 @@
 	Inner    Pair `yaml:"inner"`
 	Upstream Pair `yaml:"upstream"`
 	Platform Pair `yaml:"platform"`
+	// GossipKey names a file with 32 bytes in hex, by which membership
+	// datagrams are encrypted. All nodes share it.
+	GossipKey string `yaml:"gossip_key"`
 	// AllowPlaintext permits addresses other than loopback without TLS.
 	AllowPlaintext bool `yaml:"allow_plaintext"`
 }
@@ -206,19 +209,20 @@
 		return nil
 	}
 	listeners := []struct {
-		key, addr string
-		pair      Pair
+		key, addr, remedy string
+		secure            bool
 	}{
-		{"caller", s.Listen.Caller, s.TLS.Caller},
-		{"inner", s.Listen.Inner, s.TLS.Inner},
+		{"caller", s.Listen.Caller, "tls.caller", s.TLS.Caller.Set()},
+		{"inner", s.Listen.Inner, "tls.inner", s.TLS.Inner.Set()},
+		{"gossip", s.Listen.Gossip, "tls.gossip_key", s.TLS.GossipKey != ""},
 	}
 	for _, l := range listeners {
 		addr, err := netip.ParseAddrPort(l.addr)
 		if err != nil {
 			return fmt.Errorf("listen.%s is %q; write an IP address and a port, as in 127.0.0.1:8080", l.key, l.addr)
 		}
-		if !addr.Addr().IsLoopback() && !l.pair.Set() {
-			return fmt.Errorf("listen.%s %q is not loopback and has no TLS; set tls.%s, or tls.allow_plaintext: true", l.key, l.addr, l.key)
+		if !addr.Addr().IsLoopback() && !l.secure {
+			return fmt.Errorf("listen.%s %q is not loopback and has no TLS; set %s, or tls.allow_plaintext: true", l.key, l.addr, l.remedy)
 		}
 	}
 	return nil
--- /dev/null
+++ b/pkg/budget/example_test.go
@@ -0,0 +1,15 @@
+package budget_test
+
+import (
+	"fmt"
+
+	"geraniumstep.org/geraniumstep/pkg/budget"
+)
+
+// A twentieth of the primary work may be sent a second time.
+func ExampleBudget() {
+	b := budget.New(0.05, budget.WithBurst(2))
+	b.Earn(20)
+	fmt.Println(b.Spend(), b.Spend(), b.Spend())
+	// Output: true true false
+}
