Relay on the users' platform: the whole path, thin

Cause: the product had no way to pass opaque requests on to upstreams of a platform. Change: pkg/vhost (routes), pkg/fleet (directory), pkg/place (choice), pkg/fanout (legs, hedges, retries), pkg/extra (budget), pkg/admit, pkg/split, pkg/topk decide; internal/relay, follow, tier, logs carry out; platform/ translates. Command 'relay'.

--- a/cmd/geraniumstep/main.go
+++ b/cmd/geraniumstep/main.go
@@ -5,8 +5,9 @@
 	"os"
 
 	"geraniumstep.org/geraniumstep/internal/cmds"
+	"geraniumstep.org/geraniumstep/platform"
 )
 
 func main() {
-	os.Exit(cmds.Main(os.Args, os.Stdin, os.Stdout, os.Stderr))
+	os.Exit(cmds.Main(os.Args, os.Stdin, os.Stdout, os.Stderr, cmds.WithPlatform(platform.Adapter{})))
 }
--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -49,11 +49,24 @@
 
 func usage(err error) error { return &codedError{code: ExitUsage, err: err} }
 
+// Option changes the command line.
+type Option func(*options)
+
+type options struct{ platform Platform }
+
+// WithPlatform adds the command relay, which runs a node on a platform. By
+// default there is none.
+func WithPlatform(p Platform) Option { return func(o *options) { o.platform = p } }
+
 // Main runs the command line and returns the exit code.
-func Main(args []string, in io.Reader, out, errOut io.Writer) int {
+func Main(args []string, in io.Reader, out, errOut io.Writer, opts ...Option) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	err := newApp(in, out, errOut).Run(ctx, args)
+	var o options
+	for _, opt := range opts {
+		opt(&o)
+	}
+	err := newApp(in, out, errOut, o).Run(ctx, args)
 	if err == nil {
 		return ExitOK
 	}
@@ -65,8 +78,8 @@
 	return ExitFailed
 }
 
-func newApp(in io.Reader, out, errOut io.Writer) *cli.Command {
-	return &cli.Command{
+func newApp(in io.Reader, out, errOut io.Writer, o options) *cli.Command {
+	app := &cli.Command{
 		Name:                  "geraniumstep",
 		Usage:                 "a query tier for searches over many shards",
 		Description:           "Start with 'geraniumstep demo': it runs a whole deployment on this machine.\n\n" + exitHelp,
@@ -84,6 +97,10 @@
 			loadCommand(), standinCommand(), versionCommand(),
 		},
 	}
+	if o.platform != nil {
+		app.Commands = append(app.Commands, relayCommand(o.platform))
+	}
+	return app
 }
 
 func onUsageError(_ context.Context, _ *cli.Command, err error, _ bool) error { return usage(err) }
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,219 @@
+// Package follow keeps a process up to date with what the platform's store says
+// of routes and upstreams. It lists once and then watches; it lists again only
+// when the store has forgotten the history in between.
+//
+//	f := follow.New(source, follow.Upstreams, sink, follow.WithLog(log))
+//	err := f.Run(ctx)
+package follow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"geraniumstep.org/geraniumstep/pkg/fleet"
+	"geraniumstep.org/geraniumstep/pkg/vhost"
+)
+
+// Topic names a kind of object that is followed.
+type Topic uint8
+
+// The topics.
+const (
+	Routes Topic = iota
+	Upstreams
+)
+
+// String names the topic in logs.
+func (t Topic) String() string {
+	if t == Routes {
+		return "routes"
+	}
+	return "upstreams"
+}
+
+// Event is what the store says: NewRoutes, Seen or Gone.
+type Event interface{ event() }
+
+// NewRoutes delivers a snapshot of all routes.
+type NewRoutes struct{ Snapshot *vhost.Snapshot }
+
+// Seen delivers an upstream that is new or has changed.
+type Seen struct{ Entry fleet.Entry }
+
+// Gone tells that an upstream's entry was removed.
+type Gone struct{ ID string }
+
+func (NewRoutes) event() {}
+func (Seen) event()      {}
+func (Gone) event()      {}
+
+// Batch is the result of a call. Whole tells that the events are all there is;
+// Revision is where a watch continues.
+type Batch struct {
+	Events   []Event
+	Whole    bool
+	Revision uint64
+}
+
+// Source reads the store. Its calls return when the context ends.
+type Source interface {
+	// List reads all objects of a topic.
+	List(ctx context.Context, t Topic) (Batch, error)
+	// Watch waits for objects above the revision, or for the given time.
+	Watch(ctx context.Context, t Topic, revision uint64, wait time.Duration) (Batch, error)
+}
+
+// ErrForgotten tells that the store no longer has the history of a watch.
+var ErrForgotten = errors.New("the store has forgotten the history; list again")
+
+// Sink takes what a follower learns. Its methods are called by one goroutine
+// for each topic.
+type Sink interface {
+	// Apply takes a batch.
+	Apply(t Topic, b Batch)
+	// Lost and Regained tell whether the store answers.
+	Lost(t Topic, err error)
+	Regained(t Topic)
+}
+
+const (
+	// listTimeout bounds a list; the store answers in milliseconds.
+	listTimeout = 1500 * time.Millisecond
+	// watchWait is how long a watch may wait; the longest that the store
+	// takes, because each call has a price.
+	watchWait = 30 * time.Second
+	// watchSlack is how much later than asked a watch may return.
+	watchSlack = 2 * time.Second
+	// firstPause and lastPause bound the delay between tries while the store
+	// does not answer.
+	firstPause = 100 * time.Millisecond
+	lastPause  = time.Second
+	// gatherPause lets changes that come together be read with one call.
+	// It is a small part of the seconds in which a change must be in force.
+	gatherPause = 400 * time.Millisecond
+)
+
+// Follower follows one topic.
+type Follower struct {
+	source   Source
+	topic    Topic
+	sink     Sink
+	log      *logrus.Entry
+	gather   time.Duration
+	revision uint64
+	listed   bool
+	lost     bool
+	failures int
+}
+
+// Option changes a Follower at construction.
+type Option func(*Follower)
+
+// WithLog sets the log. The default is logrus's standard logger.
+func WithLog(log *logrus.Entry) Option { return func(f *Follower) { f.log = log } }
+
+// WithGather sets how long changes are gathered before the next call. The
+// default is 400 ms.
+func WithGather(d time.Duration) Option { return func(f *Follower) { f.gather = d } }
+
+// New returns a follower of the topic.
+func New(source Source, t Topic, sink Sink, opts ...Option) *Follower {
+	f := &Follower{
+		source: source, topic: t, sink: sink, gather: gatherPause,
+		log: logrus.NewEntry(logrus.StandardLogger()),
+	}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
+}
+
+// Run follows until the context ends, and returns nil then.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, f.once(ctx))
+	}
+	return nil
+}
+
+// once makes one call and gives the pause before the next.
+func (f *Follower) once(ctx context.Context) time.Duration {
+	batch, err := f.call(ctx)
+	switch {
+	case ctx.Err() != nil:
+		return 0
+	case errors.Is(err, ErrForgotten):
+		f.log.WithFields(logrus.Fields{"topic": f.topic.String(), "revision": f.revision}).
+			Warn("follow: the store has forgotten the history; listing again.")
+		f.listed = false
+		return 0
+	case err != nil:
+		return f.failed(err)
+	}
+	f.succeeded()
+	f.listed = true
+	f.revision = max(batch.Revision, f.revision)
+	if len(batch.Events) > 0 || batch.Whole {
+		f.sink.Apply(f.topic, batch)
+		return f.gather
+	}
+	return 0
+}
+
+func (f *Follower) call(ctx context.Context) (Batch, error) {
+	if !f.listed {
+		ctx, cancel := context.WithTimeout(ctx, listTimeout)
+		defer cancel()
+		b, err := f.source.List(ctx, f.topic)
+		if err == nil {
+			f.revision = b.Revision
+		}
+		return b, err
+	}
+	wait := watchWait
+	if f.lost {
+		// The first call after an outage shows whether it is over.
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	defer cancel()
+	return f.source.Watch(ctx, f.topic, f.revision, wait)
+}
+
+func (f *Follower) failed(err error) time.Duration {
+	f.failures++
+	if !f.lost {
+		f.lost = true
+		f.log.WithFields(logrus.Fields{"topic": f.topic.String(), "revision": f.revision, "error": err.Error()}).
+			Warn("follow: lost the store.")
+		f.sink.Lost(f.topic, err)
+	}
+	pause := min(firstPause<<min(f.failures-1, 8), lastPause)
+	return pause/2 + rand.N(pause)
+}
+
+func (f *Follower) succeeded() {
+	f.failures = 0
+	if !f.lost {
+		return
+	}
+	f.lost = false
+	f.log.WithFields(logrus.Fields{"topic": f.topic.String(), "revision": f.revision}).Info("follow: regained the store.")
+	f.sink.Regained(f.topic)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/relay/do.go
@@ -0,0 +1,157 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"geraniumstep.org/geraniumstep/pkg/admit"
+	"geraniumstep.org/geraniumstep/pkg/fanout"
+	"geraniumstep.org/geraniumstep/pkg/topk"
+	"geraniumstep.org/geraniumstep/pkg/vhost"
+)
+
+const (
+	// answerMargin is what is kept of the target for the answer's way back:
+	// a few milliseconds of network, and of work on a busy VM.
+	answerMargin = 15 * time.Millisecond
+	// timeoutMargin is kept of the timeout for the same reason.
+	timeoutMargin = 20 * time.Millisecond
+	// startRetry is when a caller should come back to a node that has no
+	// configuration yet.
+	startRetry = 500 * time.Millisecond
+)
+
+// Do serves one request. The context ends when the caller goes.
+func (e *Engine) Do(ctx context.Context, req *Request) Answer {
+	routes := e.routes.Load()
+	if routes == nil {
+		return Refused{Why: "no configuration yet", RetryAfter: startRetry}
+	}
+	route, ok := routes.Match(req.Host, req.Path)
+	if !ok {
+		e.log.WithFields(logrus.Fields{"request": req.ID, "host": req.Host, "path": req.Path, "version": routes.Version()}).
+			Info("relay: no route matches.")
+		return NoRoute{}
+	}
+	r := e.newRun(req, route, routes.Version())
+	answer := r.admitted(ctx)
+	r.log(answer)
+	return answer
+}
+
+// newRun plans the request.
+func (e *Engine) newRun(req *Request, route *vhost.Route, version uint64) *run {
+	wait := route.Timeout()
+	if req.Remaining > 0 {
+		wait = min(wait, req.Remaining)
+	}
+	r := &run{engine: e, req: req, route: route, version: version, directory: e.upstreams.Load()}
+	r.plan = fanout.Plan{
+		Least:      1,
+		Attempts:   max(route.Attempts(), 1),
+		Idempotent: route.Idempotent(),
+		Soft:       req.Arrived.Add(route.Target() - answerMargin),
+		Deadline:   req.Arrived.Add(wait - timeoutMargin),
+	}
+	switch d := route.Destination().(type) {
+	case vhost.Single:
+		r.plan.Services = []string{d.Service()}
+	case vhost.Split:
+		r.plan.Services = []string{e.wheel.Next(route.Name(), d.Parts())}
+	case vhost.Gather:
+		r.plan.Services, r.plan.Least, r.topK = d.Shards(), d.Least(), d.TopK()
+		r.plan.Idempotent, r.gather = true, true
+	}
+	return r
+}
+
+// admitted runs the request unless it cannot be served in time.
+func (r *run) admitted(ctx context.Context) Answer {
+	now := time.Now()
+	if !now.Before(r.plan.Deadline) {
+		return Refused{Why: "deadline has passed"}
+	}
+	for _, s := range r.plan.Services {
+		r.engine.budget.Count(s, 1)
+	}
+	if reject, ok := r.judge(now).(admit.Reject); ok {
+		r.verdict = "rejected"
+		return Refused{Why: "queues are longer than the target", RetryAfter: reject.RetryAfter}
+	}
+	return r.execute(ctx)
+}
+
+// judge asks whether enough legs can be served within the target.
+func (r *run) judge(now time.Time) admit.Decision {
+	expected := make([]time.Duration, 0, len(r.plan.Services))
+	for _, s := range r.plan.Services {
+		if d, ok := r.directory.expected(s, now); ok {
+			expected = append(expected, d)
+		}
+	}
+	return admit.Judge(expected, r.plan.Least, r.plan.Soft.Sub(now))
+}
+
+// answer turns the end of the fan-out into what the caller gets.
+func (r *run) answer(o fanout.Outcome) Answer {
+	switch o {
+	case fanout.OutcomeComplete, fanout.OutcomePartial:
+		if r.gather {
+			return r.merge()
+		}
+		return r.relayed(r.parts[0])
+	case fanout.OutcomeFailed, fanout.OutcomeExpired:
+	}
+	if r.claims.close() {
+		return Refused{Why: "no upstream could take the request", RetryAfter: r.retryAfter()}
+	}
+	if r.failure != nil && !r.gather {
+		return r.relayed(r.failure)
+	}
+	return Unknown{Why: "no upstream answered", Expired: o == fanout.OutcomeExpired}
+}
+
+// retryAfter estimates when the request could be served.
+func (r *run) retryAfter() time.Duration {
+	if reject, ok := r.judge(time.Now()).(admit.Reject); ok {
+		return reject.RetryAfter
+	}
+	return startRetry
+}
+
+func (r *run) merge() Answer {
+	m := topk.New(r.topK)
+	var proofs []string
+	for _, p := range r.parts {
+		if p == nil {
+			continue
+		}
+		m.Add(p.body)
+		proofs = append(proofs, p.reply.Proof)
+	}
+	return Merged{Body: m.Bytes(), Proofs: proofs, Missing: len(r.parts) - len(proofs)}
+}
+
+// relayed passes on an upstream's answer without the headers that concern the
+// connection or the tier alone.
+func (r *run) relayed(res *response) Answer {
+	header := make(http.Header, len(res.header))
+	for name, values := range res.header {
+		if !hopByHop[name] {
+			header[name] = values
+		}
+	}
+	for _, name := range r.engine.dialect.Private() {
+		header.Del(name)
+	}
+	return Relayed{Status: res.status, Header: header, Body: res.body}
+}
+
+// hopByHop lists the headers that concern one connection only.
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+}
--- /dev/null
+++ b/internal/relay/engine.go
@@ -0,0 +1,223 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"geraniumstep.org/geraniumstep/pkg/extra"
+	"geraniumstep.org/geraniumstep/pkg/fleet"
+	"geraniumstep.org/geraniumstep/pkg/gate"
+	"geraniumstep.org/geraniumstep/pkg/place"
+	"geraniumstep.org/geraniumstep/pkg/split"
+	"geraniumstep.org/geraniumstep/pkg/vhost"
+)
+
+// Engine serves relayed requests. It is safe for concurrent use.
+type Engine struct {
+	dialect Dialect
+	log     *logrus.Entry
+	dial    func(ctx context.Context, addr string) (net.Conn, error)
+	domain  string
+	regions map[string]string
+	nodes   atomic.Int64
+	budget  *extra.Ledger
+	wheel   *split.Wheel
+	metrics *metrics
+	tickets atomic.Uint64
+
+	routes    atomic.Pointer[vhost.Snapshot]
+	upstreams atomic.Pointer[directory]
+	mu        sync.Mutex // serializes SetUpstreams
+
+	work  context.Context
+	stop  context.CancelFunc
+	tasks sync.WaitGroup
+}
+
+// directory is an immutable view of the upstreams that may get new work.
+type directory struct {
+	byID      map[string]*upstream
+	byService map[string]*pool
+}
+
+// pool holds the upstreams of one service.
+type pool struct {
+	upstreams []*upstream
+	stats     []*place.Stats
+}
+
+// Option changes an Engine at construction.
+type Option func(*Engine)
+
+// WithLog sets the log. The default is logrus's standard logger.
+func WithLog(log *logrus.Entry) Option { return func(e *Engine) { e.log = log } }
+
+// WithDial sets how connections to upstreams are opened. The default is Dial.
+func WithDial(dial func(ctx context.Context, addr string) (net.Conn, error)) Option {
+	return func(e *Engine) { e.dial = dial }
+}
+
+// WithPlace sets this node's failure domain and the region of each domain. By
+// default all upstreams are equally far.
+func WithPlace(domain string, regions map[string]string) Option {
+	return func(e *Engine) { e.domain, e.regions = domain, regions }
+}
+
+// WithBudget sets the budget for extra arrivals. The default is extra.New().
+func WithBudget(l *extra.Ledger) Option { return func(e *Engine) { e.budget = l } }
+
+// WithRegistry registers the metrics. By default they are not served.
+func WithRegistry(r prometheus.Registerer) Option {
+	return func(e *Engine) { r.MustRegister(e.metrics.all()...) }
+}
+
+// New returns an Engine that knows no routes yet.
+func New(d Dialect, opts ...Option) *Engine {
+	e := &Engine{
+		dialect: d, log: logrus.NewEntry(logrus.StandardLogger()), dial: Dial,
+		budget: extra.New(), wheel: split.New(), metrics: newMetrics(),
+	}
+	e.nodes.Store(1)
+	e.work, e.stop = context.WithCancel(context.Background())
+	e.upstreams.Store(&directory{byService: map[string]*pool{}})
+	for _, opt := range opts {
+		opt(e)
+	}
+	return e
+}
+
+// Close cancels what is in flight and waits for it.
+func (e *Engine) Close() {
+	e.stop()
+	e.tasks.Wait()
+	for _, u := range e.upstreams.Load().byID {
+		u.close()
+	}
+}
+
+// Routes gives the snapshot in force, or nil before the first.
+func (e *Engine) Routes() *vhost.Snapshot { return e.routes.Load() }
+
+// SetRoutes puts a snapshot in force and tells whether it is newer than the one
+// before. An older one is ignored.
+func (e *Engine) SetRoutes(s *vhost.Snapshot) bool {
+	for {
+		old := e.routes.Load()
+		if old != nil && old.Version() >= s.Version() {
+			return false
+		}
+		if e.routes.CompareAndSwap(old, s) {
+			e.metrics.version.Set(float64(s.Version()))
+			return true
+		}
+	}
+}
+
+// SetNodes tells how many nodes share the upstreams and the budget.
+func (e *Engine) SetNodes(n int) {
+	e.nodes.Store(int64(max(n, 1)))
+	e.budget.SetNodes(n)
+}
+
+// SetUpstreams replaces the upstreams. Evidence and connections of those that
+// stay are kept; draining ones get no new work.
+func (e *Engine) SetUpstreams(entries []fleet.Entry) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	old := e.upstreams.Load()
+	next := &directory{byID: make(map[string]*upstream, len(entries)), byService: make(map[string]*pool)}
+	for _, entry := range entries {
+		u, ok := old.byID[entry.ID()]
+		if !ok || !u.same(entry) {
+			u = e.newUpstream(entry)
+		}
+		next.byID[entry.ID()] = u
+		if entry.Draining() {
+			continue
+		}
+		p, ok := next.byService[entry.Service()]
+		if !ok {
+			p = &pool{}
+			next.byService[entry.Service()] = p
+		}
+		p.upstreams = append(p.upstreams, u)
+		p.stats = append(p.stats, u.stats)
+	}
+	e.upstreams.Store(next)
+	for id, u := range old.byID {
+		if next.byID[id] != u {
+			u.close()
+		}
+	}
+}
+
+const (
+	// connectionShare is the part of the connections that an upstream
+	// accepts which all nodes together plan to use.
+	connectionShare = 0.8
+	// queueFactor is how many requests this node keeps at an upstream for
+	// each of its slots, waiting ones included.
+	queueFactor = 2
+	// defaultConnections is assumed where the configuration does not say.
+	defaultConnections = 16
+	// gateQueue is how many requests may wait for one upstream at this node.
+	gateQueue = 256
+)
+
+func (e *Engine) newUpstream(entry fleet.Entry) *upstream {
+	conns := defaultConnections
+	if s := e.routes.Load(); s != nil && s.Connections(entry.Service()) > 0 {
+		conns = s.Connections(entry.Service())
+	}
+	share := int(connectionShare * float64(conns) / float64(e.nodes.Load()))
+	limit := min(max(share, 1), queueFactor*entry.Slots())
+	return &upstream{
+		entry: entry,
+		stats: place.NewStats(e.distance(entry.Domain()), entry.Slots(), entry.ColdTill()),
+		gate:  gate.NewShared(gate.WithSlots(limit), gate.WithQueue(gateQueue)),
+		dial:  e.dial,
+	}
+}
+
+func (e *Engine) distance(domain string) place.Distance {
+	switch {
+	case domain == e.domain || e.domain == "":
+		return place.SameDomain
+	case e.regions[domain] != "" && e.regions[domain] == e.regions[e.domain]:
+		return place.SameRegion
+	}
+	return place.OtherRegion
+}
+
+// pick chooses an upstream of the service by the evidence.
+func (d *directory) pick(service string, excluded func(u *upstream) bool) *upstream {
+	p, ok := d.byService[service]
+	if !ok {
+		return nil
+	}
+	i := place.Pick(p.stats, time.Now(), rand.IntN(len(p.stats)), func(i int) bool { return excluded(p.upstreams[i]) })
+	if i < 0 {
+		return nil
+	}
+	return p.upstreams[i]
+}
+
+// expected is the shortest time to an answer of the service.
+func (d *directory) expected(service string, now time.Time) (time.Duration, bool) {
+	p, ok := d.byService[service]
+	if !ok {
+		return 0, false
+	}
+	best := p.stats[0].Expected(now)
+	for _, s := range p.stats[1:] {
+		best = min(best, s.Expected(now))
+	}
+	return best, true
+}
--- /dev/null
+++ b/internal/relay/http.go
@@ -0,0 +1,137 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// defaultBodyBytes bounds a request's body before there is a
+	// configuration that says more.
+	defaultBodyBytes = 256 << 10
+	// minRetryAfter and retrySpread shape Retry-After: never at once, and
+	// spread so that callers do not return together.
+	minRetryAfter = 50 * time.Millisecond
+	retrySpread   = 0.3
+)
+
+// Handler serves callers over HTTP.
+type Handler struct {
+	engine   *Engine
+	stopping atomic.Bool
+	spread   atomic.Uint64
+}
+
+// Handler returns the handler for callers.
+func (e *Engine) Handler() *Handler { return &Handler{engine: e} }
+
+// Stop makes callers close their connections after the next answer.
+func (h *Handler) Stop() { h.stopping.Store(true) }
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if h.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	req, invalid := h.read(w, r)
+	if invalid != nil {
+		h.write(w, *invalid)
+		return
+	}
+	h.write(w, h.engine.Do(r.Context(), req))
+}
+
+// read takes the whole request, so that it can be sent again.
+func (h *Handler) read(w http.ResponseWriter, r *http.Request) (*Request, *Invalid) {
+	limit := int64(defaultBodyBytes)
+	if s := h.engine.Routes(); s != nil && s.Limits().BodyBytes() > 0 {
+		limit = s.Limits().BodyBytes()
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		return nil, h.bodyError(err)
+	}
+	id, remaining := h.engine.dialect.ReadCaller(r.Header)
+	if id == "" {
+		return nil, &Invalid{Status: http.StatusBadRequest, Why: "request has no id; send one with each attempt"}
+	}
+	return &Request{
+		ID: id, Remaining: remaining, Method: r.Method, Host: r.Host, Target: r.RequestURI, Path: r.URL.EscapedPath(),
+		Header: r.Header, Body: body, Arrived: time.Now(),
+	}, nil
+}
+
+func (h *Handler) bodyError(err error) *Invalid {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &Invalid{Status: http.StatusRequestEntityTooLarge, Why: "body is larger than " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"}
+	}
+	return &Invalid{Status: http.StatusBadRequest, Why: "body ended early"}
+}
+
+// write sends the answer.
+func (h *Handler) write(w http.ResponseWriter, a Answer) {
+	switch a := a.(type) {
+	case Relayed:
+		h.writeRelayed(w, a)
+	case Merged:
+		h.engine.dialect.WriteMerged(w.Header(), a.Proofs, a.Missing)
+		w.Header().Set("Content-Type", "application/octet-stream")
+		h.writeBody(w, http.StatusOK, a.Body)
+	case Refused:
+		w.Header().Set("Retry-After", h.retryAfter(a.RetryAfter))
+		h.writeText(w, http.StatusServiceUnavailable, a.Why)
+	case Unknown:
+		status := http.StatusBadGateway
+		if a.Expired {
+			status = http.StatusGatewayTimeout
+		}
+		h.writeText(w, status, a.Why)
+	case NoRoute:
+		h.writeText(w, http.StatusNotFound, "no route matches")
+	case Invalid:
+		h.writeText(w, a.Status, a.Why)
+	case Abandoned:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (h *Handler) writeRelayed(w http.ResponseWriter, a Relayed) {
+	header := w.Header()
+	for name, values := range a.Header {
+		header[name] = values
+	}
+	if _, ok := a.Header["Content-Type"]; !ok {
+		header["Content-Type"] = nil // none was sent; do not guess one
+	}
+	h.writeBody(w, a.Status, a.Body)
+}
+
+func (h *Handler) writeText(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	h.writeBody(w, status, []byte(text+"\n"))
+}
+
+// writeBody sends the body with its length, so that one that is cut off does
+// not look complete.
+func (h *Handler) writeBody(w http.ResponseWriter, status int, body []byte) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	if _, err := w.Write(body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		h.engine.log.WithFields(logrus.Fields{"error": err.Error()}).Debug("relay: caller went before its answer.")
+	}
+}
+
+// retryAfter writes a delay in seconds, spread over the callers in turn.
+func (h *Handler) retryAfter(d time.Duration) string {
+	const turns = 8
+	turn := float64(h.spread.Add(1) % turns)
+	seconds := max(d, minRetryAfter).Seconds() * (1 + retrySpread*turn/turns)
+	return strconv.FormatFloat(seconds, 'f', 3, 64)
+}
--- /dev/null
+++ b/internal/relay/metrics.go
@@ -0,0 +1,42 @@
+package relay
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics are the counters and histograms of an engine.
+type metrics struct {
+	requests *prometheus.CounterVec
+	sends    *prometheus.CounterVec
+	failures *prometheus.CounterVec
+	denied   prometheus.Counter
+	latency  *prometheus.HistogramVec
+	upstream prometheus.Histogram
+	version  prometheus.Gauge
+}
+
+// latencyBuckets span from a healthy upstream's answer to the longest deadline.
+var latencyBuckets = prometheus.ExponentialBuckets(0.002, 1.6, 18)
+
+func newMetrics() *metrics {
+	return &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "geraniumstep_relay_requests_total", Help: "Requests by priority and outcome."}, []string{"priority", "outcome"}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "geraniumstep_relay_sends_total", Help: "Attempts at upstreams by reason."}, []string{"reason"}),
+		failures: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "geraniumstep_relay_failures_total", Help: "Failed attempts by cause."}, []string{"cause"}),
+		denied: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "geraniumstep_relay_extra_denied_total", Help: "Hedges and retries that the budget did not allow."}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "geraniumstep_relay_seconds", Help: "Time to the answer by priority.", Buckets: latencyBuckets}, []string{"priority"}),
+		upstream: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "geraniumstep_relay_upstream_seconds", Help: "Time of answered attempts.", Buckets: latencyBuckets}),
+		version: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "geraniumstep_relay_routes_version", Help: "Version of the routes in force."}),
+	}
+}
+
+func (m *metrics) all() []prometheus.Collector {
+	return []prometheus.Collector{m.requests, m.sends, m.failures, m.denied, m.latency, m.upstream, m.version}
+}
--- /dev/null
+++ b/internal/relay/run.go
@@ -0,0 +1,356 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"geraniumstep.org/geraniumstep/pkg/extra"
+	"geraniumstep.org/geraniumstep/pkg/fanout"
+	"geraniumstep.org/geraniumstep/pkg/gate"
+	"geraniumstep.org/geraniumstep/pkg/vhost"
+)
+
+const (
+	// lingerTime is how long an attempt that lost its race may go on, so
+	// that its connection is kept: opening one costs the upstream more than
+	// the rest of an ordinary answer.
+	lingerTime = 300 * time.Millisecond
+	// hedgeFactor times the usual service time is when an attempt takes
+	// longer than it should; hedgeFloor keeps hedges of fast services from
+	// chasing noise.
+	hedgeFactor = 3
+	hedgeFloor  = 30 * time.Millisecond
+)
+
+// run is one request on its way.
+type run struct {
+	engine    *Engine
+	req       *Request
+	route     *vhost.Route
+	version   uint64
+	directory *directory
+	plan      fanout.Plan
+	gather    bool
+	topK      int
+
+	machine  *fanout.Fanout
+	events   chan done
+	attempts map[int]*attempt
+	parts    []*response
+	failure  *response
+	claims   claims
+	extras   int
+	verdict  string
+	cause    string
+}
+
+// attempt is one send in progress.
+type attempt struct {
+	number   int
+	upstream *upstream
+	cancel   context.CancelFunc
+	sent     atomic.Bool
+}
+
+// done tells how an attempt ended.
+type done struct {
+	attempt *attempt
+	res     *response
+	ok      bool
+	notRun  bool
+	unsent  bool
+	cause   string
+}
+
+// execute feeds the machine until it finishes or the caller goes.
+func (r *run) execute(ctx context.Context) Answer {
+	r.parts = make([]*response, len(r.plan.Services))
+	r.attempts = make(map[int]*attempt)
+	r.events = make(chan done, 2*len(r.plan.Services)+maxSends)
+	r.machine = fanout.New(r.plan, r)
+	timer := time.NewTimer(time.Until(r.plan.Deadline))
+	defer timer.Stop()
+	outcome, finished := r.apply(fanout.Start{})
+	for !finished {
+		timer.Reset(time.Until(r.machine.Wake()))
+		select {
+		case d := <-r.events:
+			outcome, finished = r.apply(r.ended(d))
+		case <-timer.C:
+			outcome, finished = r.apply(fanout.Tick{})
+		case <-ctx.Done():
+			r.abandon()
+			return Abandoned{}
+		}
+	}
+	r.verdict = outcome.String()
+	return r.answer(outcome)
+}
+
+// maxSends is room for the retries of one leg in the channel of events.
+const maxSends = 16
+
+// ended records the end of an attempt and turns it into an event.
+func (r *run) ended(d done) fanout.Event {
+	delete(r.attempts, d.attempt.number)
+	if d.ok {
+		r.parts[fanout.Leg(d.attempt.number)] = d.res
+		return fanout.Answered{Attempt: d.attempt.number}
+	}
+	r.cause = d.cause
+	if d.res != nil && d.res.reply.Proof != "" && !d.notRun && !promise(d.res.status) {
+		r.failure = d.res
+	}
+	return fanout.Failed{Attempt: d.attempt.number, NotRun: d.notRun, Unsent: d.unsent}
+}
+
+// apply carries out what follows from an event.
+func (r *run) apply(ev fanout.Event) (fanout.Outcome, bool) {
+	for _, a := range r.machine.Step(ev) {
+		switch a := a.(type) {
+		case fanout.Send:
+			r.send(a)
+		case fanout.Cancel:
+			r.cancel(a.Attempt)
+		case fanout.Finish:
+			return a.Outcome, true
+		}
+	}
+	return 0, false
+}
+
+func (r *run) send(s fanout.Send) {
+	ctx, cancel := context.WithDeadline(r.engine.work, r.plan.Deadline)
+	a := &attempt{number: s.Attempt, upstream: s.Upstream.(*upstream), cancel: cancel}
+	r.attempts[s.Attempt] = a
+	if s.Reason != fanout.ReasonFirst {
+		r.extras++
+	}
+	r.engine.metrics.sends.WithLabelValues(s.Reason.String()).Inc()
+	a.upstream.stats.Begin()
+	r.engine.tasks.Go(func() {
+		defer cancel()
+		defer a.upstream.stats.End()
+		d := r.try(ctx, a)
+		if !d.ok {
+			r.engine.metrics.failures.WithLabelValues(d.cause).Inc()
+		}
+		r.events <- d
+	})
+}
+
+// cancel ends an attempt that is no longer needed: at once if it still waits
+// here, else after a while in which it may leave its connection in order.
+func (r *run) cancel(n int) {
+	a, ok := r.attempts[n]
+	if !ok {
+		return
+	}
+	if !a.sent.Load() {
+		a.cancel()
+		return
+	}
+	time.AfterFunc(lingerTime, a.cancel)
+}
+
+// abandon ends all attempts at once: the caller has gone.
+func (r *run) abandon() {
+	r.claims.close()
+	for _, a := range r.attempts {
+		a.cancel()
+	}
+}
+
+// try waits for a slot at the upstream, sends the request and reads the answer.
+func (r *run) try(ctx context.Context, a *attempt) done {
+	u := a.upstream
+	ticket := gate.NewTicket(r.engine.tickets.Add(1), r.route.Priority(), r.route.Name(), r.plan.Deadline, false)
+	if _, ok := u.gate.Acquire(ctx, ticket); !ok {
+		return done{attempt: a, notRun: true, unsent: true, cause: "no_slot"}
+	}
+	begun := time.Now()
+	d, outcome := r.exchange(ctx, a)
+	u.gate.Release(ticket, time.Since(begun), outcome)
+	return d
+}
+
+// exchange uses a connection for one request.
+func (r *run) exchange(ctx context.Context, a *attempt) (done, gate.Outcome) {
+	u := a.upstream
+	c, _, err := u.connect(ctx)
+	if err != nil {
+		u.stats.Failed()
+		return done{attempt: a, notRun: true, unsent: true, cause: "dial"}, gate.OutcomeCanceled
+	}
+	if !r.claims.take() {
+		u.release(c, true)
+		return done{attempt: a, notRun: true, unsent: true, cause: "finished"}, gate.OutcomeCanceled
+	}
+	a.sent.Store(true)
+	begun := time.Now()
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	res, wrote, reuse, err := c.exchange(r.req, r.head(u, begun), r.engine.dialect)
+	if !stop() {
+		reuse = false
+	}
+	u.release(c, reuse)
+	if !wrote {
+		r.claims.giveBack()
+		u.stats.Failed()
+		return done{attempt: a, notRun: true, unsent: true, cause: "not_written"}, gate.OutcomeCanceled
+	}
+	return r.judgeReply(ctx, a, res, err, time.Since(begun))
+}
+
+// judgeReply decides what an exchange proves, and records it as evidence.
+func (r *run) judgeReply(ctx context.Context, a *attempt, res *response, err error, took time.Duration) (done, gate.Outcome) {
+	stats := a.upstream.stats
+	if err != nil {
+		if ctx.Err() != nil {
+			stats.Outlived(took)
+			return done{attempt: a, cause: "given_up"}, gate.OutcomeCanceled
+		}
+		stats.Failed()
+		return done{attempt: a, cause: "broken"}, gate.OutcomeCanceled
+	}
+	if res.reply.HasLoad {
+		stats.Loaded(res.reply.Running, res.reply.Waiting)
+	}
+	switch {
+	case res.reply.Moved:
+		stats.Gone()
+		r.claims.giveBack()
+		return done{attempt: a, res: res, notRun: true, cause: "moved"}, gate.OutcomeCanceled
+	case res.reply.NotRun:
+		stats.Failed()
+		r.claims.giveBack()
+		return done{attempt: a, res: res, notRun: true, cause: "shed"}, gate.OutcomeShed
+	case r.good(res):
+		stats.Answered(took)
+		r.engine.metrics.upstream.Observe(took.Seconds())
+		return done{attempt: a, res: res, ok: true}, gate.OutcomeServed
+	}
+	stats.Failed()
+	return done{attempt: a, res: res, cause: "failure"}, gate.OutcomeCanceled
+}
+
+// good tells whether the answer is final: a success with its proof, or, for a
+// request to one service, any answer that trying elsewhere would not change.
+func (r *run) good(res *response) bool {
+	if res.status >= 200 && res.status < 300 {
+		return res.reply.Proof != "" && res.header.Get("Content-Encoding") == ""
+	}
+	return !r.gather && res.status < 500 && !promise(res.status)
+}
+
+// promise tells whether the status promises that the request did not run.
+func promise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// head builds the headers for the upstream.
+func (r *run) head(u *upstream, now time.Time) http.Header {
+	h := make(http.Header, len(r.req.Header)+2)
+	named := strings.Split(r.req.Header.Get("Connection"), ",")
+	for name, values := range r.req.Header {
+		if !hopByHop[name] {
+			h[name] = values
+		}
+	}
+	for _, name := range named {
+		h.Del(strings.TrimSpace(name))
+	}
+	r.engine.dialect.WriteCall(h, Call{Upstream: u.entry.ID(), Remaining: r.plan.Deadline.Sub(now)})
+	return h
+}
+
+// log writes the decision on the request.
+func (r *run) log(a Answer) {
+	took := time.Since(r.req.Arrived)
+	kind := answerName(a)
+	priority := r.route.Priority().String()
+	r.engine.metrics.requests.WithLabelValues(priority, kind).Inc()
+	r.engine.metrics.latency.WithLabelValues(priority).Observe(took.Seconds())
+	answered := 0
+	if r.machine != nil {
+		answered = r.machine.Answered()
+	}
+	fields := logrus.Fields{
+		"request": r.req.ID, "route": r.route.Name(), "version": r.version, "answer": kind, "verdict": r.verdict,
+		"legs": len(r.plan.Services), "answered": answered, "extra": r.extras, "took_ms": took.Milliseconds(),
+	}
+	if r.cause != "" {
+		fields["last_failure"] = r.cause
+	}
+	r.engine.log.WithFields(fields).Info("relay: request ended.")
+}
+
+func answerName(a Answer) string {
+	switch a.(type) {
+	case Relayed:
+		return "relayed"
+	case Merged:
+		return "merged"
+	case Refused:
+		return "refused"
+	case Unknown:
+		return "unknown"
+	case NoRoute:
+		return "no_route"
+	case Invalid:
+		return "invalid"
+	}
+	return "abandoned"
+}
+
+// Pick implements fanout.Deps.
+func (r *run) Pick(service string, tried []fanout.Upstream) (fanout.Upstream, bool) {
+	u := r.directory.pick(service, func(u *upstream) bool { return contains(tried, u) })
+	return u, u != nil
+}
+
+// Expected implements fanout.Deps.
+func (r *run) Expected(service string, tried []fanout.Upstream) (time.Duration, bool) {
+	u := r.directory.pick(service, func(u *upstream) bool { return contains(tried, u) })
+	if u == nil {
+		return 0, false
+	}
+	return u.stats.Expected(time.Now()), true
+}
+
+// HedgeAfter implements fanout.Deps.
+func (r *run) HedgeAfter(u fanout.Upstream) time.Duration {
+	return max(hedgeFactor*u.(*upstream).stats.Service(time.Now()), hedgeFloor)
+}
+
+// SpendEarly implements fanout.Deps.
+func (r *run) SpendEarly(service string) bool { return r.spend(service, extra.Early) }
+
+// SpendNeeded implements fanout.Deps.
+func (r *run) SpendNeeded(service string) bool { return r.spend(service, extra.Needed) }
+
+func (r *run) spend(service string, use extra.Use) bool {
+	if r.engine.budget.Spend(service, use) {
+		return true
+	}
+	r.engine.metrics.denied.Inc()
+	return false
+}
+
+func contains(tried []fanout.Upstream, u *upstream) bool {
+	for _, t := range tried {
+		if t == fanout.Upstream(u) {
+			return true
+		}
+	}
+	return false
+}
