follow: renew a watch every 1.5 s

Ruled out: the process (the other topic's watch returned), backoff (no failure was seen). Change: a watch waits 1.5 s instead of 30 s.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -83,11 +83,12 @@
 const (
 	// listTimeout bounds a list; the store answers in milliseconds.
 	listTimeout = 1500 * time.Millisecond
-	// watchWait is how long a watch may wait; the longest that the store
-	// takes, because each call has a price.
-	watchWait = 30 * time.Second
+	// watchWait is how long a watch may wait. A store that discards its
+	// history leaves watches waiting that hear nothing; only a new call shows
+	// it, and a change must be in force 3 s after it was made.
+	watchWait = 1500 * time.Millisecond
 	// watchSlack is how much later than asked a watch may return.
-	watchSlack = 2 * time.Second
+	watchSlack = 700 * time.Millisecond
 	// firstPause and lastPause bound the delay between tries while the store
 	// does not answer.
 	firstPause = 100 * time.Millisecond
