--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,135 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// fakeSource answers from functions that a test sets.
+type fakeSource struct {
+	mu      sync.Mutex
+	lists   int
+	watches int
+	list    func() (Batch, error)
+	watch   func(ctx context.Context, revision uint64, wait time.Duration) (Batch, error)
+}
+
+func (s *fakeSource) List(context.Context, Topic) (Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+	return s.list()
+}
+
+func (s *fakeSource) Watch(ctx context.Context, _ Topic, revision uint64, wait time.Duration) (Batch, error) {
+	s.mu.Lock()
+	s.watches++
+	watch := s.watch
+	s.mu.Unlock()
+	return watch(ctx, revision, wait)
+}
+
+// fakeSink counts what it is told.
+type fakeSink struct {
+	batches        []Batch
+	lost, regained int
+}
+
+func (s *fakeSink) Apply(_ Topic, b Batch) { s.batches = append(s.batches, b) }
+func (s *fakeSink) Lost(Topic, error)      { s.lost++ }
+func (s *fakeSink) Regained(Topic)         { s.regained++ }
+
+func newFollower(source Source, sink Sink) *Follower {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return New(source, Upstreams, sink, WithLog(logrus.NewEntry(log)))
+}
+
+// idle is a watch that hears nothing.
+func idle(ctx context.Context, _ uint64, wait time.Duration) (Batch, error) {
+	select {
+	case <-time.After(wait):
+		return Batch{}, nil
+	case <-ctx.Done():
+		return Batch{}, ctx.Err()
+	}
+}
+
+// Replays a store that discards its history and leaves the watch waiting: a
+// change that was made meanwhile must be seen within 3 s.
+func TestDeafWatchIsRenewed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		source := &fakeSource{list: func() (Batch, error) {
+			return Batch{Whole: true, Revision: uint64(time.Since(begun)/time.Second) + 1}, nil
+		}}
+		source.watch = func(ctx context.Context, revision uint64, wait time.Duration) (Batch, error) {
+			if time.Since(begun) > time.Second && revision == 1 {
+				return Batch{}, ErrForgotten
+			}
+			return idle(ctx, revision, wait)
+		}
+		sink := &fakeSink{}
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		if err := newFollower(source, sink).Run(ctx); err != nil {
+			t.Errorf("Run() = %v, want nil", err)
+		}
+		if got, want := len(sink.batches), 2; got != want {
+			t.Errorf("lists that were applied = %d, want %d", got, want)
+		}
+		if sink.lost != 0 {
+			t.Errorf("outages = %d, want 0", sink.lost)
+		}
+	})
+}
+
+// Replays a store that is down for 9 s: calls must be few, and the return noticed
+// within a bounded time.
+func TestOutageIsToldOnceAndEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		down := func() bool { return time.Since(begun) > time.Second && time.Since(begun) < 10*time.Second }
+		source := &fakeSource{list: func() (Batch, error) { return Batch{Whole: true, Revision: 1}, nil }}
+		source.watch = func(ctx context.Context, revision uint64, wait time.Duration) (Batch, error) {
+			if down() {
+				return Batch{}, errors.New("down")
+			}
+			return idle(ctx, revision, min(wait, time.Second))
+		}
+		sink := &fakeSink{}
+		ctx, cancel := context.WithTimeout(context.Background(), 13*time.Second)
+		defer cancel()
+		_ = newFollower(source, sink).Run(ctx)
+		if sink.lost != 1 || sink.regained != 1 {
+			t.Errorf("outages = %d, returns = %d, want 1 and 1", sink.lost, sink.regained)
+		}
+		if got, most := source.watches, 30; got > most {
+			t.Errorf("watches in 13 s = %d, want at most %d", got, most)
+		}
+	})
+}
+
+func TestChangesThatComeTogetherAreReadTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		revision := uint64(1)
+		source := &fakeSource{list: func() (Batch, error) { return Batch{Whole: true, Revision: 1}, nil }}
+		source.watch = func(context.Context, uint64, time.Duration) (Batch, error) {
+			revision++
+			return Batch{Events: []Event{Gone{ID: "x"}}, Revision: revision}, nil
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+		defer cancel()
+		_ = newFollower(source, &fakeSink{}).Run(ctx)
+		if got, most := source.watches, 11; got > most {
+			t.Errorf("watches during 4 s of steady changes = %d, want at most %d", got, most)
+		}
+	})
+}
--- /dev/null
+++ b/internal/relay/gather_test.go
@@ -0,0 +1,203 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"geraniumstep.org/geraniumstep/pkg/fleet"
+	"geraniumstep.org/geraniumstep/pkg/vhost"
+)
+
+// shardSet returns n shards of one upstream each, whose record names the shard.
+func shardSet(t *testing.T, n int) (names []string, ups []*standin, entries []fleet.Entry) {
+	t.Helper()
+	for i := range n {
+		s := newStandin(t, fmt.Sprintf("up-%d", i))
+		names = append(names, fmt.Sprintf("shard-%d", i))
+		ups = append(ups, s)
+		entries = append(entries, s.entry(names[i]))
+	}
+	return names, ups, entries
+}
+
+func TestGatherMergesTheGreatest(t *testing.T) {
+	names, _, entries := shardSet(t, 8)
+	e := newEngine(t, []*vhost.Route{gatherRoute(names, 1)}, entries...)
+	got, ok := e.Do(context.Background(), request("search", "r-1")).(Merged)
+	if !ok || got.Missing != 0 || len(got.Proofs) != 8 {
+		t.Fatalf("Do() = %+v, want all 8 parts", got)
+	}
+	var want strings.Builder
+	for i := 7; i >= 3; i-- {
+		fmt.Fprintf(&want, "%-16s", fmt.Sprintf("up-%d", i))
+	}
+	if string(got.Body) != want.String() {
+		t.Errorf("body = %q, want %q", got.Body, want.String())
+	}
+}
+
+// Replays a shard that is wholly down: it costs one part, not the answer, and
+// no wait beyond the target.
+func TestGatherLeavesOutALostShard(t *testing.T) {
+	names, ups, entries := shardSet(t, 4)
+	ups[2].behave(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	e := newEngine(t, []*vhost.Route{gatherRoute(names, 0.75)}, entries...)
+	got, ok := e.Do(context.Background(), request("search", "r-1")).(Merged)
+	if !ok || got.Missing != 1 || slices.Contains(got.Proofs, "up-2.r-1") {
+		t.Errorf("Do() = %+v, want 3 parts without up-2", got)
+	}
+}
+
+func TestGatherEndsAtTheTarget(t *testing.T) {
+	names, ups, entries := shardSet(t, 4)
+	ups[1].behave(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	e := newEngine(t, []*vhost.Route{gatherRoute(names, 0.75)}, entries...)
+	begun := time.Now()
+	got, ok := e.Do(context.Background(), request("search", "r-1")).(Merged)
+	if !ok || got.Missing != 1 {
+		t.Errorf("Do() = %+v, want 3 parts", got)
+	}
+	if took, target := time.Since(begun), 400*time.Millisecond; took > target {
+		t.Errorf("answer took %v, want it within the target of %v", took, target)
+	}
+}
+
+func TestGatherFailsAtOnceBelowItsLeastCoverage(t *testing.T) {
+	names, ups, entries := shardSet(t, 4)
+	for _, u := range ups[:2] {
+		u.behave(abort)
+	}
+	e := newEngine(t, []*vhost.Route{gatherRoute(names, 0.75)}, entries...)
+	begun := time.Now()
+	if answer := e.Do(context.Background(), request("search", "r-1")); answerName(answer) != "unknown" {
+		t.Errorf("Do() = %+v, want Unknown: two parts have run", answer)
+	}
+	if took := time.Since(begun); took > 300*time.Millisecond {
+		t.Errorf("the failure took %v, want it at once", took)
+	}
+}
+
+func TestGatherOfASparseFleetIsRefused(t *testing.T) {
+	names, _, entries := shardSet(t, 4)
+	e := newEngine(t, []*vhost.Route{gatherRoute(names, 0.75)}, entries[:2]...)
+	if answer := e.Do(context.Background(), request("search", "r-1")); answerName(answer) != "refused" {
+		t.Errorf("Do() = %+v, want Refused: two shards of four have no upstream", answer)
+	}
+}
+
+// Every answer rests on the shards of one version while versions change.
+func TestGatherKeepsToOneVersion(t *testing.T) {
+	oldNames, _, oldEntries := shardSet(t, 3)
+	var newNames []string
+	var newEntries []fleet.Entry
+	for i := range 5 {
+		s := newStandin(t, fmt.Sprintf("new-%d", i))
+		newNames = append(newNames, fmt.Sprintf("new-shard-%d", i))
+		newEntries = append(newEntries, s.entry(newNames[i]))
+	}
+	e := newEngine(t, []*vhost.Route{gatherRoute(oldNames, 1)}, append(oldEntries, newEntries...)...)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for version := uint64(2); version < 40; version++ {
+			names := oldNames
+			if version%2 == 0 {
+				names = newNames
+			}
+			e.SetRoutes(vhost.New(version, []*vhost.Route{gatherRoute(names, 1)}))
+			time.Sleep(2 * time.Millisecond)
+		}
+	}()
+	for i := 0; ; i++ {
+		select {
+		case <-done:
+			return
+		default:
+		}
+		got, ok := e.Do(context.Background(), request("search", fmt.Sprintf("r-%d", i))).(Merged)
+		if !ok {
+			t.Fatalf("request %d: Do() = %+v, want Merged", i, got)
+		}
+		fresh := 0
+		for _, p := range got.Proofs {
+			if strings.HasPrefix(p, "new-") {
+				fresh++
+			}
+		}
+		if n := len(got.Proofs); fresh == 0 && n != 3 || fresh > 0 && (fresh != 5 || n != 5) {
+			t.Fatalf("request %d: proofs = %v, want the shards of one version", i, got.Proofs)
+		}
+	}
+}
+
+func TestDrainingUpstreamGetsNoNewWork(t *testing.T) {
+	a, b := newStandin(t, "up-a"), newStandin(t, "up-b")
+	e := newEngine(t, []*vhost.Route{singleRoute("svc", true)}, a.entry("svc"), b.entry("svc"))
+	e.SetUpstreams([]fleet.Entry{a.entry("svc", fleet.WithDraining(true)), b.entry("svc")})
+	before := a.runs.Load()
+	for range 20 {
+		e.Do(context.Background(), request("single", "r"))
+	}
+	if got := a.runs.Load() - before; got != 0 {
+		t.Errorf("requests at the draining upstream = %d, want 0", got)
+	}
+}
+
+func TestSplitKeepsToItsWeights(t *testing.T) {
+	a, b := newStandin(t, "up-a"), newStandin(t, "up-b")
+	route := vhost.NewRoute("split", "split", "/", vhost.NewSplit([]vhost.Part{vhost.NewPart("one", 3), vhost.NewPart("two", 1)}),
+		vhost.WithIdempotent(true), vhost.WithTimeout(time.Second))
+	e := newEngine(t, []*vhost.Route{route}, a.entry("one"), b.entry("two"))
+	for range 40 {
+		e.Do(context.Background(), request("split", "r"))
+	}
+	if a.runs.Load() != 30 || b.runs.Load() != 10 {
+		t.Errorf("requests = %d and %d, want 30 and 10", a.runs.Load(), b.runs.Load())
+	}
+}
+
+func TestHandlerSession(t *testing.T) {
+	names, _, entries := shardSet(t, 3)
+	up := newStandin(t, "up")
+	e := newEngine(t, []*vhost.Route{gatherRoute(names, 1), singleRoute("svc", true)}, append(entries, up.entry("svc"))...)
+	server := newCallerServer(t, e)
+	tests := []struct {
+		name, host, id string
+		want           int
+		header         map[string]string
+	}{
+		{"gather", "search", "r-1", http.StatusOK, map[string]string{"Missing": "0"}},
+		{"single", "single", "r-2", http.StatusOK, map[string]string{"Proof": "up.r-2"}},
+		{"no route", "nowhere", "r-3", http.StatusNotFound, nil},
+		{"no id", "single", "", http.StatusBadRequest, nil},
+	}
+	for _, tt := range tests {
+		req, err := http.NewRequest(http.MethodGet, server+"/a/b?c=d", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = tt.host
+		req.Header.Set("Id", tt.id)
+		req.Header.Set("Left", "1000")
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, res.Body)
+		_ = res.Body.Close()
+		if res.StatusCode != tt.want {
+			t.Errorf("%s: status = %d, want %d", tt.name, res.StatusCode, tt.want)
+		}
+		for name, want := range tt.header {
+			if got := res.Header.Get(name); got != want {
+				t.Errorf("%s: %s = %q, want %q", tt.name, name, got, want)
+			}
+		}
+	}
+}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -108,7 +108,7 @@
 		return fanout.Answered{Attempt: d.attempt.number}
 	}
 	r.cause = d.cause
-	if d.res != nil && d.res.reply.Proof != "" && !d.notRun && !promise(d.res.status) {
+	if d.res != nil && d.res.reply.Proof != "" && d.res.status >= http.StatusInternalServerError && !promise(d.res.status) {
 		r.failure = d.res
 	}
 	return fanout.Failed{Attempt: d.attempt.number, NotRun: d.notRun, Unsent: d.unsent}
--- a/internal/relay/standin_test.go
+++ b/internal/relay/standin_test.go
@@ -154,3 +154,11 @@
 		Header: http.Header{"Id": {id}}, Arrived: time.Now(), Remaining: 2 * time.Second,
 	}
 }
+
+// newCallerServer serves callers of the engine and gives the URL.
+func newCallerServer(t *testing.T, e *Engine) string {
+	t.Helper()
+	s := httptest.NewServer(e.Handler())
+	t.Cleanup(s.Close)
+	return s.URL
+}
--- /dev/null
+++ b/pkg/place/place_test.go
@@ -0,0 +1,92 @@
+package place
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func none(int) bool { return false }
+
+// settle gives an upstream a history of answers of the given latency.
+func settle(s *Stats, took time.Duration) {
+	for range 30 {
+		s.Answered(took)
+	}
+}
+
+func TestNearFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := NewStats(SameDomain, 2, time.Time{}), NewStats(OtherRegion, 2, time.Time{})
+		for first := range 2 {
+			if got, want := Pick([]*Stats{far, near}, time.Now(), first, none), 1; got != want {
+				t.Errorf("Pick() from %d = %d, want %d", first, got, want)
+			}
+		}
+	})
+}
+
+// Replays a paused upstream: once it has been silent for longer than the way to
+// the far one takes, work goes there, before any answer is late.
+func TestSilentUpstreamIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := NewStats(SameDomain, 2, time.Time{}), NewStats(OtherRegion, 2, time.Time{})
+		settle(near, 10*time.Millisecond)
+		settle(far, 50*time.Millisecond)
+		near.Begin()
+		time.Sleep(120 * time.Millisecond)
+		if got, want := Pick([]*Stats{near, far}, time.Now(), 0, none), 1; got != want {
+			t.Errorf("Pick() during the pause = %d, want %d", got, want)
+		}
+		near.Answered(300 * time.Millisecond)
+		near.End()
+		time.Sleep(5 * time.Second)
+		if got, want := Pick([]*Stats{near, far}, time.Now(), 0, none), 0; got != want {
+			t.Errorf("Pick() after it = %d, want %d", got, want)
+		}
+	})
+}
+
+// Replays a grey failure: the upstream answers fast, and fails.
+func TestFailingUpstreamIsLeftAndTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		grey, far := NewStats(SameDomain, 2, time.Time{}), NewStats(OtherRegion, 2, time.Time{})
+		settle(far, 50*time.Millisecond)
+		for range 3 {
+			grey.Failed()
+		}
+		if got, want := Pick([]*Stats{grey, far}, time.Now(), 0, none), 1; got != want {
+			t.Errorf("Pick() = %d, want %d", got, want)
+		}
+		time.Sleep(30 * time.Second)
+		if got, want := Pick([]*Stats{grey, far}, time.Now(), 0, none), 0; got != want {
+			t.Errorf("Pick() after 30 s = %d, want %d", got, want)
+		}
+	})
+}
+
+func TestEqualUpstreamsShareTheWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := []*Stats{NewStats(SameDomain, 2, time.Time{}), NewStats(SameDomain, 2, time.Time{})}
+		for range 8 {
+			list[Pick(list, time.Now(), 0, none)].Begin()
+		}
+		if a, b := list[0].InFlight(), list[1].InFlight(); a < 3 || b < 3 {
+			t.Errorf("requests in flight = %d and %d, want them shared", a, b)
+		}
+	})
+}
+
+func TestGoneUpstreamIsTheLastChoice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gone, slow := NewStats(SameDomain, 2, time.Time{}), NewStats(OtherRegion, 2, time.Time{})
+		settle(slow, 2*time.Second)
+		gone.Gone()
+		if got, want := Pick([]*Stats{gone, slow}, time.Now(), 0, none), 1; got != want {
+			t.Errorf("Pick() = %d, want %d", got, want)
+		}
+		if got, want := Pick([]*Stats{gone}, time.Now(), 0, none), 0; got != want {
+			t.Errorf("Pick() of it alone = %d, want %d", got, want)
+		}
+	})
+}
--- a/pkg/vhost/vhost.go
+++ b/pkg/vhost/vhost.go
@@ -59,7 +59,7 @@
 // NewGather returns a destination of shards. An answer holds the topK greatest
 // records and needs at least the given share of the shards.
 func NewGather(shards []string, topK int, least float64) Gather {
-	return Gather{shards: shards, topK: topK, least: least}
+	return Gather{shards: shards, topK: max(topK, 0), least: least}
 }
 
 // Service names the service.
@@ -119,7 +119,7 @@
 
 // WithAttempts sets to how many upstreams of a service one request may be sent.
 // The default is 1.
-func WithAttempts(n int) Option { return func(r *Route) { r.attempts = n } }
+func WithAttempts(n int) Option { return func(r *Route) { r.attempts = max(n, 1) } }
 
 const defaultTimeout = 30 * time.Second
 
