--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -100,8 +101,8 @@
 
 // exchange sends the request and reads the answer. Wrote tells whether bytes may
 // have left; reuse whether the connection may carry another request.
-func (c *conn) exchange(req *Request, head http.Header, d Dialect) (res *response, wrote, reuse bool, err error) {
-	n, err := c.Write(encode(req, head))
+func (c *conn) exchange(req *Request, message []byte, d Dialect) (res *response, wrote, reuse bool, err error) {
+	n, err := c.Write(message)
 	if err != nil {
 		return nil, n > 0, false, fmt.Errorf("send: %w", err)
 	}
@@ -147,16 +148,28 @@
 	return defaultIdle
 }
 
-// encode writes the request as it goes to the upstream.
-func encode(req *Request, head http.Header) []byte {
-	var b strings.Builder
+// encodeStart writes what all upstreams of a request get alike: the request
+// line and the caller's headers.
+func encodeStart(req *Request, head http.Header) []byte {
+	var b bytes.Buffer
 	b.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
 	if len(req.Body) > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
 	}
-	// Write to a strings.Builder never fails.
+	// Write to a bytes.Buffer never fails.
 	_ = head.Write(&b)
+	return b.Bytes()
+}
+
+// encode completes a message with the headers of one upstream and the body.
+func encode(start []byte, own http.Header, body []byte) []byte {
+	b := bytes.NewBuffer(make([]byte, 0, len(start)+len(body)+ownHeaderBytes))
+	b.Write(start)
+	_ = own.Write(b)
 	b.WriteString("\r\n")
-	b.Write(req.Body)
-	return []byte(b.String())
+	b.Write(body)
+	return b.Bytes()
 }
+
+// ownHeaderBytes is room for the headers of one upstream.
+const ownHeaderBytes = 128
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -4,7 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -44,9 +44,12 @@
 	parts    []*response
 	failure  *response
 	claims   claims
-	extras   int
-	verdict  string
-	cause    string
+	// start is what all upstreams get alike, encoded once.
+	start     []byte
+	startOnce sync.Once
+	extras    int
+	verdict   string
+	cause     string
 }
 
 // attempt is one send in progress.
@@ -55,8 +58,47 @@
 	upstream *upstream
 	reason   fanout.Reason
 	placedAt time.Time
-	cancel   context.CancelFunc
-	sent     atomic.Bool
+
+	mu       sync.Mutex
+	canceled bool
+	// withdraw ends the wait for a slot, and conn carries the exchange.
+	withdraw context.CancelFunc
+	conn     *conn
+}
+
+// cancel ends the attempt at once.
+func (a *attempt) cancel() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.canceled = true
+	if a.withdraw != nil {
+		a.withdraw()
+	}
+	if a.conn != nil {
+		_ = a.conn.SetDeadline(time.Unix(1, 0))
+	}
+}
+
+// isCanceled tells whether the attempt was ended.
+func (a *attempt) isCanceled() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.canceled
+}
+
+// use puts the exchange on a connection, unless the attempt has ended.
+func (a *attempt) use(c *conn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.conn = c
+	return !a.canceled
+}
+
+// sending tells whether the attempt has a connection.
+func (a *attempt) sending() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.conn != nil
 }
 
 // done tells how an attempt ended.
@@ -130,8 +172,7 @@
 }
 
 func (r *run) send(s fanout.Send) {
-	ctx, cancel := context.WithDeadline(r.engine.work, r.plan.Deadline)
-	a := &attempt{number: s.Attempt, upstream: s.Upstream.(*upstream), reason: s.Reason, placedAt: time.Now(), cancel: cancel}
+	a := &attempt{number: s.Attempt, upstream: s.Upstream.(*upstream), reason: s.Reason, placedAt: time.Now()}
 	r.attempts[s.Attempt] = a
 	if s.Reason != fanout.ReasonFirst {
 		r.extras++
@@ -139,9 +180,8 @@
 	r.engine.metrics.sends.WithLabelValues(s.Reason.String()).Inc()
 	a.upstream.stats.Begin()
 	r.engine.tasks.Go(func() {
-		defer cancel()
 		defer a.upstream.stats.End()
-		d := r.try(ctx, a)
+		d := r.try(a)
 		if !d.ok {
 			r.engine.metrics.failures.WithLabelValues(d.cause).Inc()
 		}
@@ -157,7 +197,7 @@
 	if !ok {
 		return
 	}
-	if !a.sent.Load() {
+	if !a.sending() {
 		a.cancel()
 		return
 	}
@@ -173,52 +213,62 @@
 }
 
 // try waits for a slot at the upstream, sends the request and reads the answer.
-func (r *run) try(ctx context.Context, a *attempt) done {
+func (r *run) try(a *attempt) done {
 	u := a.upstream
 	ticket := gate.NewTicket(r.engine.tickets.Add(1), r.route.Priority(), r.route.Name(), r.plan.Deadline, false)
-	if _, ok := u.gate.Acquire(ctx, ticket); !ok {
+	if !u.gate.TryAcquire(ticket) && !r.waitForSlot(a, ticket) {
 		return done{attempt: a, notRun: true, unsent: true, cause: "no_slot"}
 	}
 	begun := time.Now()
-	d, outcome := r.exchange(ctx, a)
+	d, outcome := r.exchange(a)
 	d.waited = begun.Sub(a.placedAt)
 	u.gate.Release(ticket, time.Since(begun), outcome)
 	return d
 }
 
+// waitForSlot queues at the upstream's gate until the attempt is canceled.
+func (r *run) waitForSlot(a *attempt, ticket gate.Ticket) bool {
+	ctx, cancel := context.WithDeadline(r.engine.work, r.plan.Deadline)
+	defer cancel()
+	a.mu.Lock()
+	a.withdraw = cancel
+	gone := a.canceled
+	a.mu.Unlock()
+	if gone {
+		return false
+	}
+	_, ok := a.upstream.gate.Acquire(ctx, ticket)
+	return ok
+}
+
 // exchange uses a connection for one request.
-func (r *run) exchange(ctx context.Context, a *attempt) (done, gate.Outcome) {
+func (r *run) exchange(a *attempt) (done, gate.Outcome) {
 	u := a.upstream
-	c, _, err := u.connect(ctx)
+	c, err := u.connect(r.engine.work)
 	if err != nil {
 		u.stats.Failed()
 		return done{attempt: a, notRun: true, unsent: true, cause: "dial", err: err}, gate.OutcomeCanceled
 	}
-	if !r.claims.take() {
+	if !a.use(c) || !r.claims.take() {
 		u.release(c, true)
 		return done{attempt: a, notRun: true, unsent: true, cause: "finished"}, gate.OutcomeCanceled
 	}
-	a.sent.Store(true)
 	begun := time.Now()
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	res, wrote, reuse, err := c.exchange(r.req, r.head(u, begun), r.engine.dialect)
-	if !stop() {
-		reuse = false
-	}
-	u.release(c, reuse)
+	res, wrote, reuse, err := c.exchange(r.req, r.message(u, begun), r.engine.dialect)
+	u.release(c, a.use(nil) && reuse)
 	if !wrote {
 		r.claims.giveBack()
 		u.stats.Failed()
 		return done{attempt: a, notRun: true, unsent: true, cause: "not_written", err: err}, gate.OutcomeCanceled
 	}
-	return r.judgeReply(ctx, a, res, err, time.Since(begun))
+	return r.judgeReply(a, res, err, time.Since(begun))
 }
 
 // judgeReply decides what an exchange proves, and records it as evidence.
-func (r *run) judgeReply(ctx context.Context, a *attempt, res *response, err error, took time.Duration) (done, gate.Outcome) {
+func (r *run) judgeReply(a *attempt, res *response, err error, took time.Duration) (done, gate.Outcome) {
 	stats := a.upstream.stats
 	if err != nil {
-		if ctx.Err() != nil {
+		if a.isCanceled() {
 			stats.Outlived(took)
 			return done{attempt: a, cause: "given_up"}, gate.OutcomeCanceled
 		}
@@ -264,19 +314,31 @@
 	return false
 }
 
-// head builds the headers for the upstream.
-func (r *run) head(u *upstream, now time.Time) http.Header {
-	h := make(http.Header, len(r.req.Header)+2)
-	named := strings.Split(r.req.Header.Get("Connection"), ",")
+// message encodes the request for the upstream.
+func (r *run) message(u *upstream, now time.Time) []byte {
+	r.startOnce.Do(func() { r.start = encodeStart(r.req, r.endToEnd()) })
+	own := make(http.Header, 2)
+	r.engine.dialect.WriteCall(own, Call{Upstream: u.entry.ID(), Remaining: r.plan.Deadline.Sub(now)})
+	return encode(r.start, own, r.req.Body)
+}
+
+// endToEnd leaves out the headers that concern one connection, and those that
+// the tier sets itself.
+func (r *run) endToEnd() http.Header {
+	h := make(http.Header, len(r.req.Header))
 	for name, values := range r.req.Header {
 		if !hopByHop[name] {
 			h[name] = values
 		}
 	}
-	for _, name := range named {
+	for _, name := range strings.Split(r.req.Header.Get("Connection"), ",") {
 		h.Del(strings.TrimSpace(name))
 	}
-	r.engine.dialect.WriteCall(h, Call{Upstream: u.entry.ID(), Remaining: r.plan.Deadline.Sub(now)})
+	own := make(http.Header)
+	r.engine.dialect.WriteCall(own, Call{})
+	for name := range own {
+		h.Del(name)
+	}
 	return h
 }
 
--- a/internal/relay/single_test.go
+++ b/internal/relay/single_test.go
@@ -216,7 +216,7 @@
 func TestEncodeKeepsBodyAndLength(t *testing.T) {
 	req := request("single", "r")
 	req.Method, req.Body = http.MethodPost, bytes.Repeat([]byte("x"), 300)
-	sent := string(encode(req, http.Header{"A": {"b"}}))
+	sent := string(encode(encodeStart(req, nil), http.Header{"A": {"b"}}, req.Body))
 	want := "POST /a/b?c=d HTTP/1.1\r\nHost: single\r\nContent-Length: 300\r\nA: b\r\n\r\n" + string(req.Body)
 	if sent != want {
 		t.Errorf("encode() = %q, want %q", sent, want)
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -32,22 +32,22 @@
 }
 
 // connect takes an idle connection or opens one.
-func (u *upstream) connect(ctx context.Context) (c *conn, fresh bool, err error) {
+func (u *upstream) connect(ctx context.Context) (*conn, error) {
 	for {
 		c := u.popIdle()
 		if c == nil {
 			break
 		}
 		if c.quiet() {
-			return c, false, nil
+			return c, nil
 		}
 		_ = c.Close()
 	}
 	raw, err := u.dial(ctx, u.entry.Addr())
 	if err != nil {
-		return nil, true, err
+		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, connBuffer)}, true, nil
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, connBuffer)}, nil
 }
 
 func (u *upstream) popIdle() *conn {
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -34,11 +34,10 @@
 	tried   []Upstream
 	reached int
 	sends   int
-	sentAt  time.Time
-	hedgeAt time.Time
-	retryAt time.Time
-	// heldTill is until when no hedge is tried, after one was denied.
-	heldTill time.Time
+	// hedgeAt is when a hedge is due, for the reason hedgeWhy.
+	hedgeAt  time.Time
+	hedgeWhy Reason
+	retryAt  time.Time
 	// sent tells that an attempt may have reached an upstream.
 	sent bool
 }
@@ -113,13 +112,12 @@
 	n := i*attemptsPerLeg + l.sends
 	l.sends++
 	l.reached++
-	l.sentAt = now
 	l.live = append(l.live, attempt{number: n, upstream: u})
 	l.tried = append(l.tried, u)
 	l.retryAt = time.Time{}
 	l.hedgeAt = time.Time{}
 	if f.plan.Idempotent && f.mayTryMore(l) {
-		l.hedgeAt = now.Add(f.deps.HedgeAfter(u))
+		f.planHedge(i, now.Add(f.deps.HedgeAfter(u)), now)
 	}
 	f.out = append(f.out, Send{Attempt: n, Leg: i, Upstream: u, Reason: why})
 }
@@ -212,44 +210,42 @@
 		f.again(i, now)
 		return
 	}
-	if at, why := f.hedgeTime(i); !at.IsZero() && !now.Before(at) {
-		f.hedge(i, why, now)
+	if len(l.live) > 0 && !l.hedgeAt.IsZero() && !now.Before(l.hedgeAt) {
+		f.hedge(i, now)
 	}
 }
 
-// hedgeTime is when the leg is due for a hedge: when its attempt takes longer
+// planHedge sets when the leg is due for a hedge: when its attempt takes longer
 // than it should, or at the last moment at which another upstream could still
 // answer in time.
-func (f *Fanout) hedgeTime(i int) (time.Time, Reason) {
+func (f *Fanout) planHedge(i int, at, now time.Time) {
 	l := &f.legs[i]
-	if l.hedgeAt.IsZero() || len(l.live) == 0 {
-		return time.Time{}, ReasonHedge
-	}
+	l.hedgeAt, l.hedgeWhy = at, ReasonHedge
 	expected, ok := f.deps.Expected(f.plan.Services[i], l.tried)
 	if !ok {
-		return time.Time{}, ReasonHedge
+		return
 	}
-	at, why := l.hedgeAt, ReasonHedge
-	if last := f.plan.Soft.Add(-expected - lateMargin); last.Before(at) && last.After(l.sentAt) {
-		at, why = last, ReasonLate
+	if last := f.plan.Soft.Add(-expected - lateMargin); last.Before(at) && last.After(now) {
+		l.hedgeAt, l.hedgeWhy = last, ReasonLate
 	}
-	return later(at, l.heldTill), why
 }
 
-func (f *Fanout) hedge(i int, why Reason, now time.Time) {
+func (f *Fanout) hedge(i int, now time.Time) {
 	l := &f.legs[i]
 	service := f.plan.Services[i]
 	u, ok := f.deps.Pick(service, l.tried)
-	if !ok {
-		l.heldTill = now.Add(retryPause)
+	if !ok || !f.spendHedge(service, l.hedgeWhy) {
+		f.planHedge(i, now.Add(retryPause), now)
 		return
 	}
-	spent := why == ReasonHedge && f.deps.SpendEarly(service) || why == ReasonLate && f.deps.SpendNeeded(service)
-	if !spent {
-		l.heldTill = now.Add(retryPause)
-		return
+	f.send(i, u, l.hedgeWhy, now)
+}
+
+func (f *Fanout) spendHedge(service string, why Reason) bool {
+	if why == ReasonLate {
+		return f.deps.SpendNeeded(service)
 	}
-	f.send(i, u, why, now)
+	return f.deps.SpendEarly(service)
 }
 
 // settle ends the request when nothing is left to wait for.
@@ -287,8 +283,7 @@
 			continue
 		}
 		wake = earlier(wake, f.legs[i].retryAt)
-		at, _ := f.hedgeTime(i)
-		wake = earlier(wake, at)
+		wake = earlier(wake, f.legs[i].hedgeAt)
 	}
 	return wake
 }
@@ -300,13 +295,6 @@
 	return b
 }
 
-func later(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return b
-	}
-	return a
-}
-
 // remove forgets an attempt in flight and tells whether there was one.
 func (l *leg) remove(n int) bool {
 	for i, a := range l.live {
--- a/pkg/gate/order.go
+++ b/pkg/gate/order.go
@@ -43,6 +43,18 @@
 	g.out = append(g.out, Dispatch{Ticket: t})
 }
 
+// idle tells whether a ticket of any priority would be dispatched at once.
+func (g *Gate) idle() bool {
+	return !g.draining && !g.solo && g.queued == 0 && g.inFlight < g.Limit() && g.spare == [prio.Count]int{}
+}
+
+// startNow dispatches a ticket that never waits.
+func (g *Gate) startNow(t Ticket) {
+	t.arrived = time.Now()
+	g.start(t)
+	g.out = g.out[:0]
+}
+
 // next chooses the priority to serve: one that has saved up its reserved
 // share, else the most urgent with waiting work.
 func (g *Gate) next() (prio.Priority, bool) {
--- a/pkg/gate/shared.go
+++ b/pkg/gate/shared.go
@@ -42,6 +42,18 @@
 	}
 }
 
+// TryAcquire takes a slot if the ticket would not have to wait. It costs less
+// than Acquire, which must make a way to be woken.
+func (s *Shared) TryAcquire(t Ticket) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.gate.idle() {
+		return false
+	}
+	s.gate.startNow(t)
+	return true
+}
+
 // leave withdraws a waiting ticket. One that was dispatched at that moment
 // gives its slot back unused.
 func (s *Shared) leave(t Ticket, turn chan Action) Refuse {
