mesh: one node of each failure domain reads the store for the others

Cause: with watches of 1.5 s every node pays for every call. Also a node that the store turns away heard of no change at all. Change: pkg/reader decides who reads; internal/mesh carries beats, pushes and pulls over pkg/member's membership; follow.View keeps the objects by revision and never steps back; every node reads for itself when it hears no better reader. Upstream slots and the budget follow the number of known nodes.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -51,12 +51,21 @@
 func (Seen) event()      {}
 func (Gone) event()      {}
 
-// Batch is the result of a call. Whole tells that the events are all there is;
-// Revision is where a watch continues.
+// Change is one object that is new, has changed or is gone. Raw is the object as
+// the store holds it, so that nodes can pass it on.
+type Change struct {
+	Name string `msgpack:"n"`
+	Raw  []byte `msgpack:"r,omitempty"`
+	Gone bool   `msgpack:"g,omitempty"`
+}
+
+// Batch is a list of changes that leads from the revision From to Revision.
+// Whole tells that it is all there is, whatever was known before.
 type Batch struct {
-	Events   []Event
-	Whole    bool
-	Revision uint64
+	Changes  []Change `msgpack:"c"`
+	Whole    bool     `msgpack:"w,omitempty"`
+	From     uint64   `msgpack:"f"`
+	Revision uint64   `msgpack:"v"`
 }
 
 // Source reads the store. Its calls return when the context ends.
@@ -65,6 +74,9 @@
 	List(ctx context.Context, t Topic) (Batch, error)
 	// Watch waits for objects above the revision, or for the given time.
 	Watch(ctx context.Context, t Topic, revision uint64, wait time.Duration) (Batch, error)
+	// Decode tells what a change means. It is false for objects that mean
+	// nothing, as those of other writers.
+	Decode(t Topic, c Change) (Event, bool)
 }
 
 // ErrForgotten tells that the store no longer has the history of a watch.
@@ -73,11 +85,13 @@
 // Sink takes what a follower learns. Its methods are called by one goroutine
 // for each topic.
 type Sink interface {
+	// Position tells up to which revision the topic is known.
+	Position(t Topic) (revision uint64, known bool)
 	// Apply takes a batch.
 	Apply(t Topic, b Batch)
-	// Lost and Regained tell whether the store answers.
+	// Answered tells that the store has answered; Lost that it does not.
+	Answered(t Topic)
 	Lost(t Topic, err error)
-	Regained(t Topic)
 }
 
 const (
@@ -93,6 +107,9 @@
 	// does not answer.
 	firstPause = 100 * time.Millisecond
 	lastPause  = time.Second
+	// idlePause is how often a follower that is not active looks whether it
+	// has to be.
+	idlePause = 200 * time.Millisecond
 	// gatherPause lets changes that come together be read with one call.
 	// It is a small part of the seconds in which a change must be in force.
 	gatherPause = 400 * time.Millisecond
@@ -105,8 +122,8 @@
 	sink     Sink
 	log      *logrus.Entry
 	gather   time.Duration
-	revision uint64
-	listed   bool
+	active   func() bool
+	relist   bool
 	lost     bool
 	failures int
 }
@@ -121,10 +138,13 @@
 // default is 400 ms.
 func WithGather(d time.Duration) Option { return func(f *Follower) { f.gather = d } }
 
+// WithActive sets whether the follower calls the store. The default is always.
+func WithActive(active func() bool) Option { return func(f *Follower) { f.active = active } }
+
 // New returns a follower of the topic.
 func New(source Source, t Topic, sink Sink, opts ...Option) *Follower {
 	f := &Follower{
-		source: source, topic: t, sink: sink, gather: gatherPause,
+		source: source, topic: t, sink: sink, gather: gatherPause, active: func() bool { return true },
 		log: logrus.NewEntry(logrus.StandardLogger()),
 	}
 	for _, opt := range opts {
@@ -136,6 +156,10 @@
 // Run follows until the context ends, and returns nil then.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if !f.active() {
+			sleep(ctx, idlePause)
+			continue
+		}
 		sleep(ctx, f.once(ctx))
 	}
 	return nil
@@ -143,37 +167,33 @@
 
 // once makes one call and gives the pause before the next.
 func (f *Follower) once(ctx context.Context) time.Duration {
-	batch, err := f.call(ctx)
+	revision, known := f.sink.Position(f.topic)
+	batch, err := f.call(ctx, revision, known && !f.relist)
 	switch {
 	case ctx.Err() != nil:
 		return 0
 	case errors.Is(err, ErrForgotten):
-		f.log.WithFields(logrus.Fields{"topic": f.topic.String(), "revision": f.revision}).
+		f.log.WithFields(logrus.Fields{"topic": f.topic.String(), "revision": revision}).
 			Warn("follow: the store has forgotten the history; listing again.")
-		f.listed = false
+		f.relist = true
 		return 0
 	case err != nil:
-		return f.failed(err)
+		return f.failed(err, revision)
 	}
-	f.succeeded()
-	f.listed = true
-	f.revision = max(batch.Revision, f.revision)
-	if len(batch.Events) > 0 || batch.Whole {
-		f.sink.Apply(f.topic, batch)
+	f.succeeded(revision)
+	f.relist = false
+	f.sink.Apply(f.topic, batch)
+	if len(batch.Changes) > 0 {
 		return f.gather
 	}
 	return 0
 }
 
-func (f *Follower) call(ctx context.Context) (Batch, error) {
-	if !f.listed {
+func (f *Follower) call(ctx context.Context, revision uint64, known bool) (Batch, error) {
+	if !known {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
-		b, err := f.source.List(ctx, f.topic)
-		if err == nil {
-			f.revision = b.Revision
-		}
-		return b, err
+		return f.source.List(ctx, f.topic)
 	}
 	wait := watchWait
 	if f.lost {
@@ -182,29 +202,29 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	return f.source.Watch(ctx, f.topic, f.revision, wait)
+	return f.source.Watch(ctx, f.topic, revision, wait)
 }
 
-func (f *Follower) failed(err error) time.Duration {
+func (f *Follower) failed(err error, revision uint64) time.Duration {
 	f.failures++
 	if !f.lost {
 		f.lost = true
-		f.log.WithFields(logrus.Fields{"topic": f.topic.String(), "revision": f.revision, "error": err.Error()}).
+		f.log.WithFields(logrus.Fields{"topic": f.topic.String(), "revision": revision, "error": err.Error()}).
 			Warn("follow: lost the store.")
-		f.sink.Lost(f.topic, err)
 	}
+	f.sink.Lost(f.topic, err)
 	pause := min(firstPause<<min(f.failures-1, 8), lastPause)
 	return pause/2 + rand.N(pause)
 }
 
-func (f *Follower) succeeded() {
+func (f *Follower) succeeded(revision uint64) {
 	f.failures = 0
+	f.sink.Answered(f.topic)
 	if !f.lost {
 		return
 	}
 	f.lost = false
-	f.log.WithFields(logrus.Fields{"topic": f.topic.String(), "revision": f.revision}).Info("follow: regained the store.")
-	f.sink.Regained(f.topic)
+	f.log.WithFields(logrus.Fields{"topic": f.topic.String(), "revision": revision}).Info("follow: regained the store.")
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -36,15 +36,40 @@
 	return watch(ctx, revision, wait)
 }
 
-// fakeSink counts what it is told.
+func (s *fakeSource) Decode(Topic, Change) (Event, bool) { return nil, false }
+
+// fakeSink keeps a view and counts what it is told.
 type fakeSink struct {
-	batches        []Batch
+	view           *View
+	wholes         int
+	down           bool
 	lost, regained int
 }
 
-func (s *fakeSink) Apply(_ Topic, b Batch) { s.batches = append(s.batches, b) }
-func (s *fakeSink) Lost(Topic, error)      { s.lost++ }
-func (s *fakeSink) Regained(Topic)         { s.regained++ }
+func newSink() *fakeSink { return &fakeSink{view: NewView()} }
+
+func (s *fakeSink) Position(Topic) (uint64, bool) { return s.view.Position() }
+
+func (s *fakeSink) Apply(_ Topic, b Batch) {
+	if b.Whole {
+		s.wholes++
+	}
+	s.view.Apply(b)
+}
+
+func (s *fakeSink) Answered(Topic) {
+	if s.down {
+		s.down = false
+		s.regained++
+	}
+}
+
+func (s *fakeSink) Lost(Topic, error) {
+	if !s.down {
+		s.down = true
+		s.lost++
+	}
+}
 
 func newFollower(source Source, sink Sink) *Follower {
 	log := logrus.New()
@@ -53,10 +78,10 @@
 }
 
 // idle is a watch that hears nothing.
-func idle(ctx context.Context, _ uint64, wait time.Duration) (Batch, error) {
+func idle(ctx context.Context, revision uint64, wait time.Duration) (Batch, error) {
 	select {
 	case <-time.After(wait):
-		return Batch{}, nil
+		return Batch{From: revision, Revision: revision}, nil
 	case <-ctx.Done():
 		return Batch{}, ctx.Err()
 	}
@@ -76,13 +101,13 @@
 			}
 			return idle(ctx, revision, wait)
 		}
-		sink := &fakeSink{}
+		sink := newSink()
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
 		if err := newFollower(source, sink).Run(ctx); err != nil {
 			t.Errorf("Run() = %v, want nil", err)
 		}
-		if got, want := len(sink.batches), 2; got != want {
+		if got, want := sink.wholes, 2; got != want {
 			t.Errorf("lists that were applied = %d, want %d", got, want)
 		}
 		if sink.lost != 0 {
@@ -104,7 +129,7 @@
 			}
 			return idle(ctx, revision, min(wait, time.Second))
 		}
-		sink := &fakeSink{}
+		sink := newSink()
 		ctx, cancel := context.WithTimeout(context.Background(), 13*time.Second)
 		defer cancel()
 		_ = newFollower(source, sink).Run(ctx)
@@ -123,11 +148,11 @@
 		source := &fakeSource{list: func() (Batch, error) { return Batch{Whole: true, Revision: 1}, nil }}
 		source.watch = func(context.Context, uint64, time.Duration) (Batch, error) {
 			revision++
-			return Batch{Events: []Event{Gone{ID: "x"}}, Revision: revision}, nil
+			return Batch{Changes: []Change{{Name: "x", Gone: true}}, From: revision - 1, Revision: revision}, nil
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 		defer cancel()
-		_ = newFollower(source, &fakeSink{}).Run(ctx)
+		_ = newFollower(source, newSink()).Run(ctx)
 		if got, most := source.watches, 11; got > most {
 			t.Errorf("watches during 4 s of steady changes = %d, want at most %d", got, most)
 		}
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,393 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"geraniumstep.org/geraniumstep/internal/follow"
+	"geraniumstep.org/geraniumstep/internal/inner"
+	"geraniumstep.org/geraniumstep/pkg/member"
+	"geraniumstep.org/geraniumstep/pkg/reader"
+)
+
+const (
+	// tick drives the membership's time. Its probes are a second apart, so
+	// coarse steps do.
+	tick = 100 * time.Millisecond
+	// probePeriod, probeTimeout and suspicion are slower than the defaults:
+	// a busy VM may stand still for some hundred milliseconds.
+	probePeriod  = 800 * time.Millisecond
+	probeTimeout = 400 * time.Millisecond
+	suspicion    = 2 * time.Second
+	// greetEvery is how often seeds are tried while no other node is known.
+	greetEvery = time.Second
+	// callTimeout bounds calls between nodes that carry state.
+	callTimeout = 1500 * time.Millisecond
+	maxDatagram = 16 << 10
+)
+
+// State is what the nodes pass on to each other.
+type State interface {
+	// Revisions tells what this node knows.
+	Revisions() Revisions
+	// Take applies what another node knows of a topic. It reports false when
+	// changes in between are missing.
+	Take(t follow.Topic, b follow.Batch) bool
+	// Whole gives all of a topic.
+	Whole(t follow.Topic) follow.Batch
+	// StoreAge is how old this node's last answer from the store is.
+	StoreAge() time.Duration
+}
+
+// Mesh is one node's connection to the others.
+type Mesh struct {
+	self     member.Record
+	listener net.Listener
+	packets  net.PacketConn
+	seeds    []string
+	state    State
+	log      *logrus.Entry
+	peers    *inner.Peers
+	server   *rpc.Server
+	changed  func(records []member.Record)
+
+	mu      sync.Mutex
+	tracker *member.Tracker
+	beats   map[string]heardBeat
+	conns   map[net.Conn]bool
+
+	reads   atomic.Bool
+	pulling [2]atomic.Bool
+	syncing atomic.Bool
+	tasks   sync.WaitGroup
+	work    context.Context
+	stop    context.CancelFunc
+}
+
+// heardBeat is a beat and when it came.
+type heardBeat struct {
+	beat beat
+	at   time.Time
+}
+
+// Option changes a Mesh at construction.
+type Option func(*Mesh)
+
+// WithSeeds sets addresses of other nodes to begin with. The default is none.
+func WithSeeds(addresses []string) Option { return func(m *Mesh) { m.seeds = addresses } }
+
+// WithLog sets the log. The default is logrus's standard logger.
+func WithLog(log *logrus.Entry) Option { return func(m *Mesh) { m.log = log } }
+
+// WithChanged sets a function that is called with all members after a change.
+func WithChanged(f func(records []member.Record)) Option { return func(m *Mesh) { m.changed = f } }
+
+// WithService registers the methods of another service that nodes call.
+func WithService(name string, receiver any) Option {
+	return func(m *Mesh) {
+		if err := m.server.RegisterName(name, receiver); err != nil {
+			panic(err) // a mistake of the program
+		}
+	}
+}
+
+// New returns a mesh on a listener and a datagram socket, which Run closes.
+func New(self member.Record, l net.Listener, packets net.PacketConn, state State, dial inner.Dial, opts ...Option) *Mesh {
+	m := &Mesh{
+		self: self, listener: l, packets: packets, state: state,
+		log: logrus.NewEntry(logrus.StandardLogger()), peers: inner.NewPeers(dial), server: rpc.NewServer(),
+		changed: func([]member.Record) {}, beats: make(map[string]heardBeat), conns: make(map[net.Conn]bool),
+	}
+	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	m.tracker = member.New(self, source,
+		member.WithPeriod(probePeriod), member.WithTimeout(probeTimeout), member.WithSuspicion(suspicion))
+	m.work, m.stop = context.WithCancel(context.Background())
+	WithService(service, &methods{mesh: m})(m)
+	for _, opt := range opts {
+		opt(m)
+	}
+	m.reads.Store(true)
+	return m
+}
+
+// Reads tells whether this node reads the store.
+func (m *Mesh) Reads() bool { return m.reads.Load() }
+
+// Call calls a method of the node at the address.
+func (m *Mesh) Call(ctx context.Context, addr, method string, args, reply any) error {
+	return m.peers.Call(ctx, addr, method, args, reply)
+}
+
+// Run serves the other nodes until the context ends.
+func (m *Mesh) Run(ctx context.Context) error {
+	go m.receive()
+	go m.accept()
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	greeted, beaten := time.Time{}, time.Time{}
+	for {
+		now := time.Now()
+		if m.alone() && now.Sub(greeted) >= greetEvery {
+			greeted = now
+			m.greet()
+		}
+		m.decide()
+		if m.Reads() && now.Sub(beaten) >= reader.BeatEvery {
+			beaten = now
+			m.sendBeats()
+		}
+		select {
+		case <-ctx.Done():
+			m.close()
+			return nil
+		case <-ticker.C:
+			m.step(member.Tick{})
+		}
+	}
+}
+
+// close says farewell and ends all connections.
+func (m *Mesh) close() {
+	m.step(member.Leave{})
+	m.stop()
+	_ = m.packets.Close()
+	_ = m.listener.Close()
+	m.peers.Close()
+	m.mu.Lock()
+	for c := range m.conns {
+		_ = c.Close()
+	}
+	m.mu.Unlock()
+	m.tasks.Wait()
+}
+
+// step feeds the membership and carries out its actions.
+func (m *Mesh) step(ev member.Event) {
+	m.mu.Lock()
+	m.tracker.SetVersions(m.state.Revisions().versions())
+	actions := append([]member.Action(nil), m.tracker.Step(ev)...)
+	var records []member.Record
+	for _, a := range actions {
+		if _, ok := a.(member.Changed); ok {
+			records = m.tracker.Records()
+			break
+		}
+	}
+	m.mu.Unlock()
+	for _, a := range actions {
+		switch a := a.(type) {
+		case member.Send:
+			m.send(a.Addr, datagram{Message: &a.Message})
+		case member.Sync:
+			m.exchange(a.Addr)
+		case member.Heard:
+			m.heard(a.Addr, revisionsOf(a.Versions))
+		case member.Changed:
+		}
+	}
+	if records != nil {
+		m.changed(records)
+	}
+}
+
+// send sends one datagram. One that is lost is sent again by the protocol.
+func (m *Mesh) send(addr string, d datagram) {
+	data, err := msgpack.Marshal(&d)
+	if err != nil {
+		m.log.WithField("error", err.Error()).Warn("mesh: message could not be encoded.")
+		return
+	}
+	to, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		return // a member that has announced no address yet
+	}
+	_, _ = m.packets.WriteTo(data, to)
+}
+
+// receive reads datagrams until the socket is closed.
+func (m *Mesh) receive() {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := m.packets.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		var d datagram
+		if err := msgpack.Unmarshal(buffer[:n], &d); err != nil {
+			continue // not from a node
+		}
+		if d.Message != nil {
+			m.step(member.Received{Message: *d.Message})
+		}
+		if d.Beat != nil {
+			m.hear(*d.Beat)
+		}
+	}
+}
+
+func (m *Mesh) hear(b beat) {
+	m.mu.Lock()
+	m.beats[b.VM] = heardBeat{beat: b, at: time.Now()}
+	m.mu.Unlock()
+	m.heard(b.Addr, b.Have)
+}
+
+// heard pulls what another node knows more than this one.
+func (m *Mesh) heard(addr string, have Revisions) {
+	own := m.state.Revisions()
+	for _, t := range []follow.Topic{follow.Routes, follow.Upstreams} {
+		if have.Of(t) > own.Of(t) {
+			m.pull(addr, t)
+		}
+	}
+}
+
+// pull takes a whole topic from another node, one pull of a topic at a time.
+func (m *Mesh) pull(addr string, t follow.Topic) {
+	if !m.pulling[t].CompareAndSwap(false, true) {
+		return
+	}
+	m.spawn(func(ctx context.Context) {
+		defer m.pulling[t].Store(false)
+		var reply PullReply
+		args := Pull{Topic: t, Have: m.state.Revisions().Of(t)}
+		if err := m.peers.Call(ctx, addr, methodPull, &args, &reply); err != nil {
+			m.log.WithFields(logrus.Fields{"peer": addr, "topic": t.String(), "error": err.Error()}).Debug("mesh: pull failed.")
+			return
+		}
+		if reply.Batch != nil {
+			m.state.Take(t, *reply.Batch)
+		}
+	})
+}
+
+// Publish passes changes on to the other nodes of the domain.
+func (m *Mesh) Publish(t follow.Topic, b follow.Batch) {
+	for _, r := range m.domain() {
+		m.spawn(func(ctx context.Context) {
+			if err := m.peers.Call(ctx, r.Addr, methodPush, &Push{Topic: t, Batch: b}, &None{}); err != nil {
+				m.log.WithFields(logrus.Fields{"peer": r.VM, "topic": t.String(), "error": err.Error()}).Debug("mesh: push failed.")
+			}
+		})
+	}
+}
+
+// spawn runs a call in the background until the mesh is closed.
+func (m *Mesh) spawn(f func(ctx context.Context)) {
+	if m.work.Err() != nil {
+		return
+	}
+	m.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(m.work, callTimeout)
+		defer cancel()
+		f(ctx)
+	})
+}
+
+// domain lists the other live members of this failure domain.
+func (m *Mesh) domain() []member.Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []member.Record
+	for _, r := range m.tracker.Records() {
+		if r.Domain == m.self.Domain && r.VM != m.self.VM && r.Status < member.Dead && r.Addr != "" {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// decide settles whether this node reads the store.
+func (m *Mesh) decide() {
+	now := time.Now()
+	m.mu.Lock()
+	var peers []reader.Peer
+	for name, b := range m.beats {
+		peers = append(peers, reader.Peer{Name: name, Silent: now.Sub(b.at), StoreAge: b.beat.StoreAge})
+	}
+	m.mu.Unlock()
+	reads := reader.Decide(m.self.VM, peers)
+	if m.reads.Swap(reads) != reads {
+		m.log.WithFields(logrus.Fields{"reads": reads, "peers": len(peers)}).Info("mesh: changed who reads the store.")
+	}
+}
+
+// BestStoreAge is how old the newest answer from the store is that this node
+// or the reader of its domain has.
+func (m *Mesh) BestStoreAge() time.Duration {
+	best := m.state.StoreAge()
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, b := range m.beats {
+		best = min(best, b.beat.StoreAge+now.Sub(b.at))
+	}
+	return best
+}
+
+// sendBeats tells the domain what this node has.
+func (m *Mesh) sendBeats() {
+	b := beat{VM: m.self.VM, Addr: m.self.Addr, Have: m.state.Revisions(), StoreAge: m.state.StoreAge()}
+	for _, r := range m.domain() {
+		m.send(r.Gossip, datagram{Beat: &b})
+	}
+}
+
+// alone tells whether no other member is known.
+func (m *Mesh) alone() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range m.tracker.Records() {
+		if r.VM != m.self.VM && r.Status < member.Dead {
+			return false
+		}
+	}
+	return true
+}
+
+// greet exchanges views with the seeds.
+func (m *Mesh) greet() {
+	for _, addr := range m.seeds {
+		if addr != m.self.Addr {
+			m.spawn(func(ctx context.Context) { m.exchangeNow(ctx, addr) })
+		}
+	}
+}
+
+// exchange compares whole views with a member, one at a time.
+func (m *Mesh) exchange(addr string) {
+	if !m.syncing.CompareAndSwap(false, true) {
+		return
+	}
+	m.spawn(func(ctx context.Context) {
+		defer m.syncing.Store(false)
+		m.exchangeNow(ctx, addr)
+	})
+}
+
+func (m *Mesh) exchangeNow(ctx context.Context, addr string) {
+	var reply Views
+	if err := m.peers.Call(ctx, addr, methodViews, &Views{Records: m.records()}, &reply); err != nil {
+		m.log.WithFields(logrus.Fields{"peer": addr, "error": err.Error()}).Debug("mesh: views were not exchanged.")
+		return
+	}
+	m.step(member.Merged{Records: reply.Records})
+}
+
+func (m *Mesh) records() []member.Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tracker.Records()
+}
--- /dev/null
+++ b/internal/mesh/serve.go
@@ -0,0 +1,59 @@
+package mesh
+
+import (
+	"errors"
+	"net"
+
+	"geraniumstep.org/geraniumstep/internal/inner"
+	"geraniumstep.org/geraniumstep/pkg/member"
+)
+
+// accept serves the connections of other nodes until the listener is closed.
+func (m *Mesh) accept() {
+	for {
+		c, err := m.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			m.log.WithField("error", err.Error()).Warn("mesh: accept failed.")
+			continue
+		}
+		m.mu.Lock()
+		m.conns[c] = true
+		m.mu.Unlock()
+		go func() {
+			m.server.ServeCodec(inner.NewServerCodec(c))
+			m.mu.Lock()
+			delete(m.conns, c)
+			m.mu.Unlock()
+		}()
+	}
+}
+
+// methods are what other nodes call.
+type methods struct{ mesh *Mesh }
+
+// Views merges the caller's view and returns this node's.
+func (s *methods) Views(args *Views, reply *Views) error {
+	s.mesh.step(member.Merged{Records: args.Records})
+	reply.Records = s.mesh.records()
+	return nil
+}
+
+// Push applies changes that the domain's reader has read. When changes in
+// between are missing, the next beat leads to a pull.
+func (s *methods) Push(args *Push, _ *None) error {
+	s.mesh.state.Take(args.Topic, args.Batch)
+	return nil
+}
+
+// Pull returns a topic if this node knows more of it.
+func (s *methods) Pull(args *Pull, reply *PullReply) error {
+	if s.mesh.state.Revisions().Of(args.Topic) <= args.Have {
+		return nil
+	}
+	b := s.mesh.state.Whole(args.Topic)
+	reply.Batch = &b
+	return nil
+}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -122,8 +122,14 @@
 
 // SetNodes tells how many nodes share the upstreams and the budget.
 func (e *Engine) SetNodes(n int) {
-	e.nodes.Store(int64(max(n, 1)))
+	n = max(n, 1)
+	if e.nodes.Swap(int64(n)) == int64(n) {
+		return
+	}
 	e.budget.SetNodes(n)
+	for _, u := range e.upstreams.Load().byID {
+		u.gate.Apply(gate.Resize{Slots: e.slots(u.entry)})
+	}
 }
 
 // SetUpstreams replaces the upstreams. Evidence and connections of those that
@@ -171,17 +177,21 @@
 	gateQueue = 256
 )
 
-func (e *Engine) newUpstream(entry fleet.Entry) *upstream {
+// slots is how many requests this node keeps at the upstream.
+func (e *Engine) slots(entry fleet.Entry) int {
 	conns := defaultConnections
 	if s := e.routes.Load(); s != nil && s.Connections(entry.Service()) > 0 {
 		conns = s.Connections(entry.Service())
 	}
 	share := int(connectionShare * float64(conns) / float64(e.nodes.Load()))
-	limit := min(max(share, 1), queueFactor*entry.Slots())
+	return min(max(share, 1), queueFactor*entry.Slots())
+}
+
+func (e *Engine) newUpstream(entry fleet.Entry) *upstream {
 	return &upstream{
 		entry: entry,
 		stats: place.NewStats(e.distance(entry.Domain()), entry.Slots(), entry.ColdTill()),
-		gate:  gate.NewShared(gate.WithSlots(limit), gate.WithQueue(gateQueue)),
+		gate:  gate.NewShared(gate.WithSlots(e.slots(entry)), gate.WithQueue(gateQueue)),
 		dial:  e.dial,
 	}
 }
--- a/internal/setup/relay.go
+++ b/internal/setup/relay.go
@@ -44,7 +44,8 @@
 	Ratio     float64       `yaml:"ratio" validate:"min=0,max=10"`
 	Allowance int           `yaml:"allowance" validate:"min=0,max=1000000"`
 	Window    time.Duration `yaml:"window" validate:"min=100ms,max=10m"`
-	// Nodes is how many nodes share the allowance at least.
+	// Nodes is how many nodes are taken to share the allowance and the
+	// connections of upstreams while no other node is known.
 	Nodes int `yaml:"nodes" validate:"min=1,max=100000"`
 }
 
@@ -61,7 +62,7 @@
 func RelayDefaults() Relay {
 	return Relay{
 		Platform: Platform{Timeout: 2 * time.Second},
-		Budget:   RelayBudget{Ratio: 0.2, Allowance: 20, Window: 10 * time.Second, Nodes: 9},
+		Budget:   RelayBudget{Ratio: 0.2, Allowance: 20, Window: 10 * time.Second, Nodes: 32},
 		MemoryMB: 256,
 		Stop:     RelayStop{Grace: 6 * time.Second, Notice: 2500 * time.Millisecond},
 		Log:      Log{Level: "info", Format: "json"},
--- a/internal/tier/state.go
+++ b/internal/tier/state.go
@@ -3,79 +3,117 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"geraniumstep.org/geraniumstep/internal/follow"
+	"geraniumstep.org/geraniumstep/internal/mesh"
 	"geraniumstep.org/geraniumstep/internal/relay"
 	"geraniumstep.org/geraniumstep/pkg/fleet"
 )
 
-// settleTick is how often the directory looks at entries in doubt.
-const settleTick = 200 * time.Millisecond
+const (
+	// settleTick is how often the directory looks at entries in doubt.
+	settleTick = 200 * time.Millisecond
+	// disturbedAfter is the age of the newest answer from the store at which
+	// what vanishes from it is doubted. It is above the time that a watch may
+	// wait and below the time after which silent upstreams are removed.
+	disturbedAfter = 2600 * time.Millisecond
+)
+
+// topics lists what is followed.
+var topics = [...]follow.Topic{follow.Routes, follow.Upstreams}
 
-// state passes what is learned of the store on to the engine. It implements
-// follow.Sink.
+// state holds what the node knows of the store and passes it on to the engine
+// and to the other nodes. It implements follow.Sink and mesh.State.
 type state struct {
 	engine *relay.Engine
+	source follow.Source
 	log    *logrus.Entry
+	views  [len(topics)]*follow.View
+	// answered is when the store last answered, by topic, and began when the
+	// process started.
+	answered [len(topics)]atomic.Pointer[time.Time]
+	began    time.Time
+	// publish passes changes on to the other nodes, and age is how old the
+	// newest answer from the store is that this node can rely on.
+	publish func(t follow.Topic, b follow.Batch)
+	age     func() time.Duration
 
 	mu        sync.Mutex
 	directory *fleet.Directory
-	listed    bool
 }
 
-func newState(e *relay.Engine, log *logrus.Entry) *state {
-	return &state{engine: e, log: log, directory: fleet.New()}
+func newState(e *relay.Engine, source follow.Source, log *logrus.Entry) *state {
+	s := &state{engine: e, source: source, log: log, began: time.Now(), directory: fleet.New()}
+	for t := range s.views {
+		s.views[t] = follow.NewView()
+	}
+	s.publish = func(follow.Topic, follow.Batch) {}
+	s.age = s.StoreAge
+	return s
 }
 
+// Position implements follow.Sink.
+func (s *state) Position(t follow.Topic) (uint64, bool) { return s.views[t].Position() }
+
 // Apply implements follow.Sink.
 func (s *state) Apply(t follow.Topic, b follow.Batch) {
-	if t == follow.Upstreams {
-		s.applyUpstreams(b)
+	from := s.views[t].Changed()
+	if !s.Take(t, b) || len(b.Changes) == 0 {
 		return
 	}
-	for _, ev := range b.Events {
-		routes, ok := ev.(follow.NewRoutes)
-		if !ok {
-			continue
-		}
-		if s.engine.SetRoutes(routes.Snapshot) {
-			s.log.WithFields(logrus.Fields{"version": routes.Snapshot.Version(), "revision": b.Revision, "routes": len(routes.Snapshot.Routes())}).
-				Info("tier: routes are in force.")
-		}
+	if !b.Whole {
+		b.From = from
 	}
+	s.publish(t, b)
 }
 
-func (s *state) applyUpstreams(b follow.Batch) {
+// Take implements mesh.State.
+func (s *state) Take(t follow.Topic, b follow.Batch) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.listed = true
-	changed := false
-	if b.Whole {
-		changed = s.directory.Step(fleet.Listed{Entries: seen(b.Events)})
-	} else {
-		changed = s.applyChanges(b.Events)
+	changes, ok := s.views[t].Apply(b)
+	if !ok || len(changes) == 0 {
+		return ok
 	}
-	if changed {
-		s.publish(b.Revision)
+	if t == follow.Routes {
+		s.applyRoutes(changes, b.Revision)
+	} else if s.applyUpstreams(changes) {
+		s.publishUpstreams(b.Revision)
 	}
+	return true
 }
 
-func seen(events []follow.Event) []fleet.Entry {
-	var list []fleet.Entry
-	for _, ev := range events {
-		if e, ok := ev.(follow.Seen); ok {
-			list = append(list, e.Entry)
+func (s *state) applyRoutes(changes []follow.Change, revision uint64) {
+	for _, c := range changes {
+		ev, ok := s.decode(follow.Routes, c)
+		routes, isRoutes := ev.(follow.NewRoutes)
+		if !ok || !isRoutes || !s.engine.SetRoutes(routes.Snapshot) {
+			continue
 		}
+		s.log.WithFields(logrus.Fields{"version": routes.Snapshot.Version(), "revision": revision, "routes": len(routes.Snapshot.Routes())}).
+			Info("tier: routes are in force.")
+	}
+}
+
+func (s *state) decode(t follow.Topic, c follow.Change) (follow.Event, bool) {
+	ev, ok := s.source.Decode(t, c)
+	if !ok {
+		s.log.WithFields(logrus.Fields{"topic": t.String(), "name": c.Name}).Warn("tier: object cannot be read and is left out.")
 	}
-	return list
+	return ev, ok
 }
 
-func (s *state) applyChanges(events []follow.Event) bool {
+func (s *state) applyUpstreams(changes []follow.Change) bool {
 	changed := false
-	for _, ev := range events {
+	for _, c := range changes {
+		ev, ok := s.decode(follow.Upstreams, c)
+		if !ok {
+			continue
+		}
 		switch ev := ev.(type) {
 		case follow.Seen:
 			changed = s.directory.Step(fleet.Seen{Entry: ev.Entry}) || changed
@@ -87,8 +125,8 @@
 	return changed
 }
 
-// publish gives the upstreams to the engine. The lock is held.
-func (s *state) publish(revision uint64) {
+// publishUpstreams gives the upstreams to the engine. The lock is held.
+func (s *state) publishUpstreams(revision uint64) {
 	entries := s.directory.Entries()
 	s.engine.SetUpstreams(entries)
 	draining := 0
@@ -101,19 +139,41 @@
 		Info("tier: upstreams have changed.")
 }
 
-// Lost implements follow.Sink.
-func (s *state) Lost(t follow.Topic, _ error) { s.disturb(t, fleet.Disturbed{}) }
+// Whole implements mesh.State.
+func (s *state) Whole(t follow.Topic) follow.Batch { return s.views[t].Whole() }
 
-// Regained implements follow.Sink.
-func (s *state) Regained(t follow.Topic) { s.disturb(t, fleet.Calm{}) }
+// Revisions implements mesh.State.
+func (s *state) Revisions() mesh.Revisions {
+	return mesh.Revisions{Routes: s.views[follow.Routes].Changed(), Upstreams: s.views[follow.Upstreams].Changed()}
+}
 
-func (s *state) disturb(t follow.Topic, ev fleet.Event) {
-	if t != follow.Upstreams {
-		return
+// Answered implements follow.Sink.
+func (s *state) Answered(t follow.Topic) {
+	now := time.Now()
+	s.answered[t].Store(&now)
+}
+
+// Lost implements follow.Sink.
+func (s *state) Lost(t follow.Topic, _ error) {
+	if t != follow.Upstreams || s.age() < s.StoreAge() {
+		return // another node's answers are fresher
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.directory.Step(ev)
+	s.directory.Step(fleet.Disturbed{})
+}
+
+// StoreAge implements mesh.State.
+func (s *state) StoreAge() time.Duration {
+	oldest := time.Duration(0)
+	for t := range s.answered {
+		at := s.began
+		if answered := s.answered[t].Load(); answered != nil {
+			at = *answered
+		}
+		oldest = max(oldest, time.Since(at))
+	}
+	return oldest
 }
 
 // run lets time pass for entries in doubt until the context ends.
@@ -131,16 +191,21 @@
 }
 
 func (s *state) settle() {
+	disturbed := s.age() > disturbedAfter
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if disturbed {
+		s.directory.Step(fleet.Disturbed{})
+	} else {
+		s.directory.Step(fleet.Calm{})
+	}
 	if s.directory.Step(fleet.Tick{}) {
-		s.publish(0)
+		s.publishUpstreams(0)
 	}
 }
 
 // knowsUpstreams tells whether the upstreams have been listed once.
 func (s *state) knowsUpstreams() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.listed
+	_, known := s.views[follow.Upstreams].Position()
+	return known
 }
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -23,10 +23,12 @@
 	"github.com/sirupsen/logrus"
 
 	"geraniumstep.org/geraniumstep/internal/follow"
+	"geraniumstep.org/geraniumstep/internal/mesh"
 	"geraniumstep.org/geraniumstep/internal/relay"
 	"geraniumstep.org/geraniumstep/internal/setup"
 	"geraniumstep.org/geraniumstep/pkg/extra"
 	"geraniumstep.org/geraniumstep/pkg/life"
+	"geraniumstep.org/geraniumstep/pkg/member"
 )
 
 const (
@@ -49,6 +51,7 @@
 	engine   *relay.Engine
 	handler  *relay.Handler
 	state    *state
+	mesh     *mesh.Mesh
 	life     *life.Node
 	registry *prometheus.Registry
 
@@ -80,9 +83,42 @@
 	)
 	t.engine.SetNodes(b.Nodes)
 	t.handler = t.engine.Handler()
-	t.state = newState(t.engine, t.log)
+	t.state = newState(t.engine, source, t.log)
 	t.life = life.NewNode(t.lifeChanged)
-	return t, t.listen()
+	if err := t.listen(); err != nil {
+		return nil, err
+	}
+	return t, t.join()
+}
+
+// join prepares the connection to the other nodes.
+func (t *Tier) join() error {
+	l, err := listen("inner", t.set.Listen.Inner)
+	if err != nil {
+		return err
+	}
+	packets, err := net.ListenPacket("udp", t.set.Listen.Inner)
+	if err != nil {
+		return fmt.Errorf("cannot listen on listen.inner %s for datagrams: %w; choose a free address of this VM", t.set.Listen.Inner, err)
+	}
+	self := member.Record{
+		VM: t.set.VM, Domain: t.set.FailureDomain, Addr: t.set.Listen.Inner, Gossip: t.set.Listen.Inner,
+		Caller: t.set.Listen.Caller, Started: time.Now().UnixMilli(),
+	}
+	t.mesh = mesh.New(self, l, packets, t.state, relay.Dial,
+		mesh.WithSeeds(t.set.Peers), mesh.WithLog(t.log), mesh.WithChanged(t.membersChanged))
+	t.state.publish, t.state.age = t.mesh.Publish, t.mesh.BestStoreAge
+	return nil
+}
+
+// membersChanged shares the budget and the connections among all nodes that are
+// known. Those that have died count on: what they spent is still in the window.
+func (t *Tier) membersChanged(records []member.Record) {
+	n := len(records)
+	if n == 1 {
+		n = t.set.Budget.Nodes
+	}
+	t.engine.SetNodes(n)
 }
 
 func (t *Tier) listen() error {
@@ -119,11 +155,12 @@
 	defer stop()
 	callers := t.server(t.handler)
 	var group run.Group
-	for _, topic := range []follow.Topic{follow.Routes, follow.Upstreams} {
-		f := follow.New(t.source, topic, t.state, follow.WithLog(t.log))
+	for _, topic := range topics {
+		f := follow.New(t.source, topic, t.state, follow.WithLog(t.log), follow.WithActive(t.mesh.Reads))
 		group.Add(func() error { return f.Run(work) }, func(error) { stop() })
 	}
 	group.Add(func() error { return t.state.run(work) }, func(error) { stop() })
+	group.Add(func() error { return t.mesh.Run(work) }, func(error) { stop() })
 	group.Add(func() error {
 		err := serve(callers, t.callers)
 		<-t.drained
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -59,7 +59,8 @@
 // Priority is the ticket's priority.
 func (t Ticket) Priority() prio.Priority { return t.priority }
 
-// Event is an input of Step: Arrive, Finish, Withdraw, Overload, Drain or Restart.
+// Event is an input of Step: Arrive, Finish, Withdraw, Overload,
+// Resize, Drain or Restart.
 type Event interface{ event() }
 
 // Arrive offers a ticket.
@@ -84,10 +85,14 @@
 // grows again from one.
 type Restart struct{}
 
+// Resize changes the number of slots.
+type Resize struct{ Slots int }
+
 // Overload lowers the limit on a sign from elsewhere.
 type Overload struct{}
 
 func (Overload) event() {}
+func (Resize) event()   {}
 func (Arrive) event()   {}
 func (Finish) event()   {}
 func (Withdraw) event() {}
@@ -257,6 +262,9 @@
 		g.withdraw(ev.ID)
 	case Overload:
 		g.limiter.Overload()
+	case Resize:
+		g.slots = max(ev.Slots, 1)
+		g.limiter.Resize(g.slots)
 	case Drain:
 		g.drain()
 	case Restart:
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -91,6 +91,12 @@
 	l.clamp()
 }
 
+// Resize changes the highest limit and starts from it.
+func (l *Limiter) Resize(n int) {
+	l.max = float64(n)
+	l.Reset(n)
+}
+
 func (l *Limiter) clamp() {
 	l.limit = min(max(l.limit, l.min), l.max)
 }
--- /dev/null
+++ b/pkg/reader/reader_test.go
@@ -0,0 +1,65 @@
+package reader
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// fresh is a peer that was heard just now.
+func fresh(name string) Peer { return Peer{Name: name} }
+
+// In steady state exactly one node of a domain reads.
+func TestOneNodeReads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 30).Draw(t, "nodes")
+		reads := 0
+		for i := range n {
+			var peers []Peer
+			for k := range n {
+				if k != i {
+					peers = append(peers, fresh(fmt.Sprintf("vm-%d", k)))
+				}
+			}
+			if Decide(fmt.Sprintf("vm-%d", i), peers) {
+				reads++
+			}
+		}
+		if want := 1; reads != want {
+			t.Fatalf("nodes that read = %d, want %d", reads, want)
+		}
+	})
+}
+
+// When any set of nodes is silent or refused by the store, every node still has
+// a reader: itself or a better one that is heard and fresh.
+func TestNobodyIsWithoutAReader(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 12).Draw(t, "nodes")
+		var peers []Peer
+		for k := 1; k < n; k++ {
+			peers = append(peers, Peer{
+				Name:     fmt.Sprintf("vm-%d", k),
+				Silent:   time.Duration(rapid.IntRange(0, 3000).Draw(t, "silent")) * time.Millisecond,
+				StoreAge: time.Duration(rapid.IntRange(0, 5000).Draw(t, "age")) * time.Millisecond,
+			})
+		}
+		if Decide("vm-0", peers) {
+			return
+		}
+		for _, p := range peers {
+			if p.Silent < silence && p.Silent+p.StoreAge < staleAfter && rank(p.Name) < rank("vm-0") {
+				return
+			}
+		}
+		t.Fatalf("vm-0 does not read although no better node is heard and fresh: %+v", peers)
+	})
+}
+
+func TestAloneReads(t *testing.T) {
+	if !Decide("vm-0", nil) {
+		t.Error("Decide() without peers = false, want true")
+	}
+}
