relay: hand the shards of another region to a node there

Change: pkg/gather chooses who gathers; a group of legs goes with one call to a node of the other region, which merges (the merge of merges is the merge of all) and returns proofs. Large domains gather at their strongest nodes only. The way to a peer is measured, and its reply asked for early enough.

--- a/internal/relay/do.go
+++ b/internal/relay/do.go
@@ -74,14 +74,15 @@
 	if !now.Before(r.plan.Deadline) {
 		return Refused{Why: "deadline has passed"}
 	}
-	for _, s := range r.plan.Services {
-		r.engine.budget.Count(s, 1)
-	}
 	if reject, ok := r.judge(now).(admit.Reject); ok {
 		r.verdict = "rejected"
 		return Refused{Why: "queues are longer than the target", RetryAfter: reject.RetryAfter}
 	}
-	return r.execute(ctx)
+	outcome, ended := r.execute(ctx)
+	if !ended {
+		return Abandoned{}
+	}
+	return r.answer(outcome)
 }
 
 // judge asks whether enough legs can be served within the target.
@@ -106,6 +107,9 @@
 	case fanout.OutcomeFailed, fanout.OutcomeExpired:
 	}
 	if r.claims.close() {
+		if r.refused > 0 {
+			return Refused{Why: "queues are longer than the target", RetryAfter: r.refused}
+		}
 		return Refused{Why: "no upstream could take the request", RetryAfter: r.retryAfter()}
 	}
 	if r.failure != nil && !r.gather {
@@ -125,8 +129,12 @@
 func (r *run) merge() Answer {
 	m := topk.New(r.topK)
 	var proofs []string
-	for _, p := range r.parts {
-		if p == nil {
+	for _, g := range r.groups {
+		m.Add(g.body)
+		proofs = append(proofs, g.proofs...)
+	}
+	for i, p := range r.parts {
+		if p == nil || r.inGroup(i) {
 			continue
 		}
 		m.Add(p.body)
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -32,6 +32,10 @@
 	metrics *metrics
 	tickets atomic.Uint64
 
+	call      Caller
+	peers     atomic.Pointer[peers]
+	gathering sync.Map // id of a gather for another node to its cancel function
+
 	routes    atomic.Pointer[vhost.Snapshot]
 	upstreams atomic.Pointer[directory]
 	mu        sync.Mutex // serializes SetUpstreams
@@ -86,6 +90,7 @@
 	}
 	e.nodes.Store(1)
 	e.work, e.stop = context.WithCancel(context.Background())
+	e.peers.Store(&peers{})
 	e.upstreams.Store(&directory{byService: map[string]*pool{}})
 	for _, opt := range opts {
 		opt(e)
--- /dev/null
+++ b/internal/relay/gatherer.go
@@ -0,0 +1,98 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"geraniumstep.org/geraniumstep/pkg/admit"
+	"geraniumstep.org/geraniumstep/pkg/fanout"
+	"geraniumstep.org/geraniumstep/pkg/topk"
+	"geraniumstep.org/geraniumstep/pkg/vhost"
+)
+
+// Gatherer serves the calls of other nodes. It is registered with net/rpc under
+// GatherService.
+type Gatherer struct{ engine *Engine }
+
+// Gatherer returns what other nodes call.
+func (e *Engine) Gatherer() *Gatherer { return &Gatherer{engine: e} }
+
+// Gather reaches the services of the call and returns their merged parts.
+func (g *Gatherer) Gather(call *GatherCall, reply *GatherReply) error {
+	begun := time.Now()
+	defer func() { reply.Took = time.Since(begun) }()
+	ctx, cancel := context.WithCancel(g.engine.work)
+	defer cancel()
+	g.engine.gathering.Store(call.ID, cancel)
+	defer g.engine.gathering.Delete(call.ID)
+	r := g.engine.gatherRun(call)
+	if reject, ok := r.judge(time.Now()).(admit.Reject); ok {
+		reply.NotRun, reply.RetryAfter = true, reject.RetryAfter
+		r.verdict = "rejected"
+		r.log(Refused{})
+		return nil
+	}
+	if _, ended := r.execute(ctx); !ended {
+		r.log(Abandoned{})
+		return nil
+	}
+	r.reply(reply)
+	return nil
+}
+
+// Cancel ends a gather whose result is no longer wanted.
+func (g *Gatherer) Cancel(call *CancelCall, _ *None) error {
+	if cancel, ok := g.engine.gathering.LoadAndDelete(call.ID); ok {
+		cancel.(context.CancelFunc)()
+	}
+	return nil
+}
+
+// gatherRun plans a part of a search for another node.
+func (e *Engine) gatherRun(call *GatherCall) *run {
+	now := time.Now()
+	req := &Request{
+		ID: call.Request, Method: call.Method, Host: call.Host, Target: call.Target,
+		Header: http.Header(call.Header), Body: call.Body, Arrived: now, Remaining: call.Deadline,
+	}
+	route := vhost.NewRoute(call.Route, call.Host, "", vhost.NewGather(call.Services, call.TopK, 0),
+		vhost.WithPriority(call.Priority), vhost.WithAttempts(call.Attempts), vhost.WithIdempotent(true),
+		vhost.WithTimeout(call.Deadline), vhost.WithTarget(call.Soft))
+	return &run{
+		engine: e, req: req, route: route, version: call.Version, directory: e.upstreams.Load(),
+		gather: true, topK: call.TopK, hops: call.Hops,
+		plan: fanout.Plan{
+			Services: call.Services, Least: max(call.Least, 1), Attempts: max(call.Attempts, 1), Idempotent: true,
+			Soft: now.Add(call.Soft), Deadline: now.Add(call.Deadline),
+		},
+	}
+}
+
+// reply fills in what the run has gathered.
+func (r *run) reply(reply *GatherReply) {
+	m := topk.New(r.topK)
+	for _, g := range r.groups {
+		if !g.answered {
+			continue
+		}
+		m.Add(g.body)
+		reply.Proofs = append(reply.Proofs, g.proofs...)
+		reply.Legs = append(reply.Legs, g.order...)
+	}
+	for i, p := range r.parts {
+		if p == nil || r.inGroup(i) {
+			continue
+		}
+		m.Add(p.body)
+		reply.Proofs = append(reply.Proofs, p.reply.Proof)
+		reply.Legs = append(reply.Legs, i)
+	}
+	reply.Body = m.Bytes()
+	reply.NotRun = r.claims.close() && len(reply.Legs) == 0
+	var answer Answer = Merged{Missing: len(r.plan.Services) - len(reply.Legs)}
+	if reply.NotRun {
+		answer = Refused{}
+	}
+	r.log(answer)
+}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -39,7 +39,8 @@
 	topK      int
 
 	machine  *fanout.Fanout
-	events   chan done
+	events   chan event
+	groups   []*group
 	attempts map[int]*attempt
 	parts    []*response
 	failure  *response
@@ -47,9 +48,14 @@
 	// start is what all upstreams get alike, encoded once.
 	start     []byte
 	startOnce sync.Once
-	extras    int
-	verdict   string
-	cause     string
+	// grouped names the group that is to take the first attempt of a service.
+	grouped map[string]*group
+	hops    int
+	extras  int
+	verdict string
+	// refused is when a peer that rejected the search wants it back.
+	refused time.Duration
+	cause   string
 }
 
 // attempt is one send in progress.
@@ -101,6 +107,12 @@
 	return a.conn != nil
 }
 
+// event is what a run waits for: done or groupDone.
+type event interface{ event() }
+
+func (done) event()      {}
+func (groupDone) event() {}
+
 // done tells how an attempt ended.
 type done struct {
 	attempt *attempt
@@ -114,29 +126,44 @@
 	waited time.Duration
 }
 
-// execute feeds the machine until it finishes or the caller goes.
-func (r *run) execute(ctx context.Context) Answer {
+// execute feeds the machine until it finishes. It reports false when the caller
+// went first.
+func (r *run) execute(ctx context.Context) (fanout.Outcome, bool) {
 	r.parts = make([]*response, len(r.plan.Services))
 	r.attempts = make(map[int]*attempt)
-	r.events = make(chan done, 2*len(r.plan.Services)+maxSends)
+	r.events = make(chan event, 2*len(r.plan.Services)+maxSends)
+	r.planGroups()
 	r.machine = fanout.New(r.plan, r)
 	timer := time.NewTimer(time.Until(r.plan.Deadline))
 	defer timer.Stop()
 	outcome, finished := r.apply(fanout.Start{})
+	r.startGroups()
 	for !finished {
 		timer.Reset(time.Until(r.machine.Wake()))
 		select {
-		case d := <-r.events:
-			outcome, finished = r.apply(r.ended(d))
+		case ev := <-r.events:
+			outcome, finished = r.took(ev)
 		case <-timer.C:
 			outcome, finished = r.apply(fanout.Tick{})
 		case <-ctx.Done():
 			r.abandon()
-			return Abandoned{}
+			return 0, false
 		}
 	}
 	r.verdict = outcome.String()
-	return r.answer(outcome)
+	r.cancelGroups()
+	return outcome, true
+}
+
+// took applies one event.
+func (r *run) took(ev event) (fanout.Outcome, bool) {
+	switch ev := ev.(type) {
+	case done:
+		return r.apply(r.ended(ev))
+	case groupDone:
+		return r.groupEnded(ev)
+	}
+	return 0, false
 }
 
 // maxSends is room for the retries of one leg in the channel of events.
@@ -172,9 +199,15 @@
 }
 
 func (r *run) send(s fanout.Send) {
+	if g, ok := s.Upstream.(*group); ok {
+		g.attempts = append(g.attempts, s.Attempt)
+		return
+	}
 	a := &attempt{number: s.Attempt, upstream: s.Upstream.(*upstream), reason: s.Reason, placedAt: time.Now()}
 	r.attempts[s.Attempt] = a
-	if s.Reason != fanout.ReasonFirst {
+	if s.Reason == fanout.ReasonFirst {
+		r.count(r.plan.Services[s.Leg])
+	} else {
 		r.extras++
 	}
 	r.engine.metrics.sends.WithLabelValues(s.Reason.String()).Inc()
@@ -210,6 +243,7 @@
 	for _, a := range r.attempts {
 		a.cancel()
 	}
+	r.cancelGroups()
 }
 
 // try waits for a slot at the upstream, sends the request and reads the answer.
@@ -400,6 +434,10 @@
 
 // Pick implements fanout.Deps.
 func (r *run) Pick(service string, tried []fanout.Upstream) (fanout.Upstream, bool) {
+	if g, ok := r.grouped[service]; ok && len(tried) == 0 {
+		delete(r.grouped, service)
+		return g, true
+	}
 	u := r.directory.pick(service, func(u *upstream) bool { return contains(tried, u) })
 	return u, u != nil
 }
@@ -415,6 +453,9 @@
 
 // HedgeAfter implements fanout.Deps.
 func (r *run) HedgeAfter(u fanout.Upstream) time.Duration {
+	if g, ok := u.(*group); ok {
+		return max(hedgeFactor*g.peer.stats.Service(time.Now()), groupFloor)
+	}
 	return max(hedgeFactor*u.(*upstream).stats.Service(time.Now()), hedgeFloor)
 }
 
@@ -424,6 +465,9 @@
 // SpendNeeded implements fanout.Deps.
 func (r *run) SpendNeeded(service string) bool { return r.spend(service, extra.Needed) }
 
+// count tells the budget about a first attempt that this node makes.
+func (r *run) count(service string) { r.engine.budget.Count(service, 1) }
+
 func (r *run) spend(service string, use extra.Use) bool {
 	if r.engine.budget.Spend(service, use) {
 		return true
--- a/internal/setup/relay.go
+++ b/internal/setup/relay.go
@@ -23,6 +23,9 @@
 	// Peers are addresses of other nodes to begin with, possibly stale.
 	Peers  []string    `yaml:"peers" validate:"dive,hostname_port"`
 	Budget RelayBudget `yaml:"budget"`
+	// Capacity is how much work the node can do relative to others, as its
+	// share of a processor core.
+	Capacity float64 `yaml:"capacity" validate:"min=0.001,max=100000"`
 	// MemoryMB bounds the process; the collector works harder near it.
 	MemoryMB int       `yaml:"memory_mb" validate:"min=32,max=1048576"`
 	Stop     RelayStop `yaml:"stop"`
@@ -63,6 +66,7 @@
 	return Relay{
 		Platform: Platform{Timeout: 2 * time.Second},
 		Budget:   RelayBudget{Ratio: 0.2, Allowance: 20, Window: 10 * time.Second, Nodes: 32},
+		Capacity: 1,
 		MemoryMB: 256,
 		Stop:     RelayStop{Grace: 6 * time.Second, Notice: 2500 * time.Millisecond},
 		Log:      Log{Level: "info", Format: "json"},
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -27,6 +27,7 @@
 	"geraniumstep.org/geraniumstep/internal/relay"
 	"geraniumstep.org/geraniumstep/internal/setup"
 	"geraniumstep.org/geraniumstep/pkg/extra"
+	"geraniumstep.org/geraniumstep/pkg/gather"
 	"geraniumstep.org/geraniumstep/pkg/life"
 	"geraniumstep.org/geraniumstep/pkg/member"
 )
@@ -52,6 +53,7 @@
 	handler  *relay.Handler
 	state    *state
 	mesh     *mesh.Mesh
+	self     member.Record
 	life     *life.Node
 	registry *prometheus.Registry
 
@@ -103,22 +105,36 @@
 	}
 	self := member.Record{
 		VM: t.set.VM, Domain: t.set.FailureDomain, Addr: t.set.Listen.Inner, Gossip: t.set.Listen.Inner,
-		Caller: t.set.Listen.Caller, Started: time.Now().UnixMilli(),
+		Caller: t.set.Listen.Caller, Started: time.Now().UnixMilli(), Capacity: t.set.Capacity,
 	}
+	t.self = self
 	t.mesh = mesh.New(self, l, packets, t.state, relay.Dial,
-		mesh.WithSeeds(t.set.Peers), mesh.WithLog(t.log), mesh.WithChanged(t.membersChanged))
+		mesh.WithSeeds(t.set.Peers), mesh.WithLog(t.log), mesh.WithChanged(t.membersChanged),
+		mesh.WithService(relay.GatherService, t.engine.Gatherer()))
 	t.state.publish, t.state.age = t.mesh.Publish, t.mesh.BestStoreAge
 	return nil
 }
 
 // membersChanged shares the budget and the connections among all nodes that are
-// known. Those that have died count on: what they spent is still in the window.
+// known, and chooses those that gather. Nodes that have died count on for the
+// budget: what they spent is still in the window.
 func (t *Tier) membersChanged(records []member.Record) {
 	n := len(records)
 	if n == 1 {
 		n = t.set.Budget.Nodes
 	}
 	t.engine.SetNodes(n)
+	var nodes []gather.Node
+	for _, r := range records {
+		if r.Status == member.Alive {
+			nodes = append(nodes, t.nodeOf(r))
+		}
+	}
+	t.engine.SetPeers(gather.New(t.nodeOf(t.self), nodes), t.mesh.Call)
+}
+
+func (t *Tier) nodeOf(r member.Record) gather.Node {
+	return gather.Node{VM: r.VM, Addr: r.Addr, Domain: r.Domain, Region: t.set.Regions[r.Domain], Capacity: r.Capacity}
 }
 
 func (t *Tier) listen() error {
--- /dev/null
+++ b/pkg/gather/gather_test.go
@@ -0,0 +1,88 @@
+package gather
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// domainOf makes a failure domain with big and small nodes.
+func domainOf(domain, region string, big, small int) []Node {
+	var list []Node
+	for i := range big + small {
+		n := Node{VM: fmt.Sprintf("%s-%d", domain, i), Domain: domain, Region: region, Capacity: 0.2}
+		if i < big {
+			n.Capacity = 0.8
+		}
+		list = append(list, n)
+	}
+	return list
+}
+
+func names(nodes []Node) map[string]bool {
+	set := make(map[string]bool)
+	for _, n := range nodes {
+		set[n.VM] = true
+	}
+	return set
+}
+
+func TestStrongNodesGather(t *testing.T) {
+	nodes := domainOf("a", "r", 2, 13)
+	s := New(nodes[7], nodes)
+	if got := names(s.Own()); len(got) != 2 || !got["a-0"] || !got["a-1"] || s.Gathers() {
+		t.Errorf("gatherers = %v, self %v; want the two strong nodes", got, s.Gathers())
+	}
+}
+
+func TestWeakNodesTakeOverInNumbers(t *testing.T) {
+	nodes := domainOf("a", "r", 0, 13)
+	s := New(nodes[0], nodes)
+	if got, least := s.Gatherers(), 5; got < least {
+		t.Errorf("gatherers = %d, want at least %d", got, least)
+	}
+}
+
+func TestSmallDomainsAllGather(t *testing.T) {
+	nodes := append(domainOf("a", "r", 0, 3), domainOf("b", "q", 0, 3)...)
+	for _, n := range nodes {
+		if s := New(n, nodes); !s.Gathers() {
+			t.Errorf("%s does not gather in a domain of three", n.VM)
+		}
+	}
+	if got := New(nodes[0], nodes).Region("q"); len(got) != 3 {
+		t.Errorf("gatherers of the other region = %v, want all three", got)
+	}
+}
+
+// Whoever is alive, nodes that know the same members agree, and there is always
+// somebody who gathers.
+func TestNodesAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := append(domainOf("a", "r", 2, 13), domainOf("b", "r", 1, 6)...)
+		var alive []Node
+		for _, n := range all {
+			if rapid.Bool().Draw(t, "alive") {
+				alive = append(alive, n)
+			}
+		}
+		want := map[string]map[string]bool{}
+		for _, n := range alive {
+			s := New(n, append([]Node(nil), alive...))
+			got := names(s.Own())
+			if len(got) == 0 {
+				t.Fatalf("%s knows no gatherer", n.VM)
+			}
+			if want[n.Domain] == nil {
+				want[n.Domain] = got
+			}
+			if fmt.Sprint(got) != fmt.Sprint(want[n.Domain]) {
+				t.Fatalf("%s sees gatherers %v, another %v", n.VM, got, want[n.Domain])
+			}
+			if s.Gathers() != got[n.VM] {
+				t.Fatalf("%s gathers = %v, gatherers %v", n.VM, s.Gathers(), got)
+			}
+		}
+	})
+}
--- a/pkg/member/record.go
+++ b/pkg/member/record.go
@@ -48,6 +48,8 @@
 	Status  Status `msgpack:"st"`
 	// Ready tells whether the member takes requests of callers.
 	Ready bool `msgpack:"r"`
+	// Capacity is how much work the member can do, relative to others.
+	Capacity float64 `msgpack:"w,omitempty"`
 }
 
 // overrides tells whether r is newer than old. A process that has left never
