fanout: a peer that gathers uses all attempts of its legs

Change: fanout.Deps.Uses; a group counts as all attempts unless nothing was sent. Gatherers share the connections and budgets of shards among themselves; a stopping node leaves the membership at once.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -155,6 +155,10 @@
 	}
 }
 
+// Leave tells the others that this node takes no more work. It goes on serving
+// calls until Run ends.
+func (m *Mesh) Leave() { m.step(member.Leave{}) }
+
 // close says farewell and ends all connections.
 func (m *Mesh) close() {
 	m.step(member.Leave{})
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -27,10 +27,14 @@
 	domain  string
 	regions map[string]string
 	nodes   atomic.Int64
-	budget  *extra.Ledger
-	wheel   *split.Wheel
-	metrics *metrics
-	tickets atomic.Uint64
+	// gatherers is how many nodes reach shards; they share the budget and the
+	// connections of these among themselves.
+	gatherers atomic.Int64
+	budget    *extra.Ledger
+	shards    *extra.Ledger
+	wheel     *split.Wheel
+	metrics   *metrics
+	tickets   atomic.Uint64
 
 	call      Caller
 	peers     atomic.Pointer[peers]
@@ -74,8 +78,11 @@
 	return func(e *Engine) { e.domain, e.regions = domain, regions }
 }
 
-// WithBudget sets the budget for extra arrivals. The default is extra.New().
-func WithBudget(l *extra.Ledger) Option { return func(e *Engine) { e.budget = l } }
+// WithBudget sets how the budgets for extra arrivals are made. By default they
+// have the defaults of package extra.
+func WithBudget(opts ...extra.Option) Option {
+	return func(e *Engine) { e.budget, e.shards = extra.New(opts...), extra.New(opts...) }
+}
 
 // WithRegistry registers the metrics. By default they are not served.
 func WithRegistry(r prometheus.Registerer) Option {
@@ -86,9 +93,10 @@
 func New(d Dialect, opts ...Option) *Engine {
 	e := &Engine{
 		dialect: d, log: logrus.NewEntry(logrus.StandardLogger()), dial: Dial,
-		budget: extra.New(), wheel: split.New(), metrics: newMetrics(),
+		budget: extra.New(), shards: extra.New(), wheel: split.New(), metrics: newMetrics(),
 	}
 	e.nodes.Store(1)
+	e.gatherers.Store(1)
 	e.work, e.stop = context.WithCancel(context.Background())
 	e.peers.Store(&peers{})
 	e.upstreams.Store(&directory{byService: map[string]*pool{}})
@@ -120,20 +128,32 @@
 		}
 		if e.routes.CompareAndSwap(old, s) {
 			e.metrics.version.Set(float64(s.Version()))
+			e.resize()
 			return true
 		}
 	}
 }
 
-// SetNodes tells how many nodes share the upstreams and the budget.
-func (e *Engine) SetNodes(n int) {
-	n = max(n, 1)
-	if e.nodes.Swap(int64(n)) == int64(n) {
+// SetNodes tells how many nodes share upstreams and budgets, and how many of
+// them reach shards.
+func (e *Engine) SetNodes(nodes, gatherers int) {
+	nodes = max(nodes, 1)
+	gatherers = min(max(gatherers, 1), nodes)
+	if e.nodes.Swap(int64(nodes)) == int64(nodes) && e.gatherers.Swap(int64(gatherers)) == int64(gatherers) {
 		return
 	}
-	e.budget.SetNodes(n)
+	e.gatherers.Store(int64(gatherers))
+	e.budget.SetNodes(nodes)
+	e.shards.SetNodes(gatherers)
+	e.resize()
+}
+
+// resize fits the slots of all upstreams to the number of nodes.
+func (e *Engine) resize() {
 	for _, u := range e.upstreams.Load().byID {
-		u.gate.Apply(gate.Resize{Slots: e.slots(u.entry)})
+		if slots := e.slots(u.entry); u.slots.Swap(int64(slots)) != int64(slots) {
+			u.gate.Apply(gate.Resize{Slots: slots})
+		}
 	}
 }
 
@@ -184,21 +204,29 @@
 
 // slots is how many requests this node keeps at the upstream.
 func (e *Engine) slots(entry fleet.Entry) int {
-	conns := defaultConnections
-	if s := e.routes.Load(); s != nil && s.Connections(entry.Service()) > 0 {
-		conns = s.Connections(entry.Service())
+	conns, nodes := defaultConnections, e.nodes.Load()
+	if s := e.routes.Load(); s != nil {
+		if n := s.Connections(entry.Service()); n > 0 {
+			conns = n
+		}
+		if s.Shard(entry.Service()) {
+			nodes = e.gatherers.Load()
+		}
 	}
-	share := int(connectionShare * float64(conns) / float64(e.nodes.Load()))
+	share := int(connectionShare * float64(conns) / float64(nodes))
 	return min(max(share, 1), queueFactor*entry.Slots())
 }
 
 func (e *Engine) newUpstream(entry fleet.Entry) *upstream {
-	return &upstream{
+	slots := e.slots(entry)
+	u := &upstream{
 		entry: entry,
 		stats: place.NewStats(e.distance(entry.Domain()), entry.Slots(), entry.ColdTill()),
-		gate:  gate.NewShared(gate.WithSlots(e.slots(entry)), gate.WithQueue(gateQueue)),
+		gate:  gate.NewShared(gate.WithSlots(slots), gate.WithQueue(gateQueue)),
 		dial:  e.dial,
 	}
+	u.slots.Store(int64(slots))
+	return u
 }
 
 func (e *Engine) distance(domain string) place.Distance {
--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -18,9 +18,6 @@
 const (
 	// leastGroup is the fewest legs that are worth a call to another node.
 	leastGroup = 3
-	// groupFloor is the least time after which a node that gathers is
-	// hedged: it hedges its own upstreams before that.
-	groupFloor = 120 * time.Millisecond
 	// firstTrip is the way to another region that is assumed before the
 	// first answer from there.
 	firstTrip = 20 * time.Millisecond
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -451,11 +451,16 @@
 	return u.stats.Expected(time.Now()), true
 }
 
+// Uses implements fanout.Deps.
+func (r *run) Uses(u fanout.Upstream) int {
+	if _, ok := u.(*group); ok {
+		return r.plan.Attempts
+	}
+	return 1
+}
+
 // HedgeAfter implements fanout.Deps.
 func (r *run) HedgeAfter(u fanout.Upstream) time.Duration {
-	if g, ok := u.(*group); ok {
-		return max(hedgeFactor*g.peer.stats.Service(time.Now()), groupFloor)
-	}
 	return max(hedgeFactor*u.(*upstream).stats.Service(time.Now()), hedgeFloor)
 }
 
@@ -466,10 +471,19 @@
 func (r *run) SpendNeeded(service string) bool { return r.spend(service, extra.Needed) }
 
 // count tells the budget about a first attempt that this node makes.
-func (r *run) count(service string) { r.engine.budget.Count(service, 1) }
+func (r *run) count(service string) { r.ledger().Count(service, 1) }
+
+// ledger is the budget that the run's extra arrivals come from: nodes that reach
+// shards share one among themselves.
+func (r *run) ledger() *extra.Ledger {
+	if set := r.engine.peers.Load().set; r.gather && (set == nil || set.Gathers()) {
+		return r.engine.shards
+	}
+	return r.engine.budget
+}
 
 func (r *run) spend(service string, use extra.Use) bool {
-	if r.engine.budget.Spend(service, use) {
+	if r.ledger().Spend(service, use) {
 		return true
 	}
 	r.engine.metrics.denied.Inc()
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"geraniumstep.org/geraniumstep/pkg/fleet"
@@ -18,6 +19,7 @@
 	entry fleet.Entry
 	stats *place.Stats
 	gate  *gate.Shared
+	slots atomic.Int64
 	dial  func(ctx context.Context, addr string) (net.Conn, error)
 
 	mu     sync.Mutex
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -80,10 +80,10 @@
 	t.engine = relay.New(d,
 		relay.WithLog(t.log),
 		relay.WithPlace(set.FailureDomain, set.Regions),
-		relay.WithBudget(extra.New(extra.WithRatio(b.Ratio), extra.WithAllowance(b.Allowance), extra.WithWindow(b.Window))),
+		relay.WithBudget(extra.WithRatio(b.Ratio), extra.WithAllowance(b.Allowance), extra.WithWindow(b.Window)),
 		relay.WithRegistry(t.registry),
 	)
-	t.engine.SetNodes(b.Nodes)
+	t.engine.SetNodes(b.Nodes, b.Nodes)
 	t.handler = t.engine.Handler()
 	t.state = newState(t.engine, source, t.log)
 	t.life = life.NewNode(t.lifeChanged)
@@ -119,18 +119,20 @@
 // known, and chooses those that gather. Nodes that have died count on for the
 // budget: what they spent is still in the window.
 func (t *Tier) membersChanged(records []member.Record) {
-	n := len(records)
-	if n == 1 {
-		n = t.set.Budget.Nodes
-	}
-	t.engine.SetNodes(n)
-	var nodes []gather.Node
+	var alive, known []gather.Node
 	for _, r := range records {
+		known = append(known, t.nodeOf(r))
 		if r.Status == member.Alive {
-			nodes = append(nodes, t.nodeOf(r))
+			alive = append(alive, t.nodeOf(r))
 		}
 	}
-	t.engine.SetPeers(gather.New(t.nodeOf(t.self), nodes), t.mesh.Call)
+	nodes, gatherers := len(records), gather.New(t.nodeOf(t.self), known).Total()
+	if nodes == 1 {
+		nodes, gatherers = t.set.Budget.Nodes, t.set.Budget.Nodes
+	}
+	set := gather.New(t.nodeOf(t.self), alive)
+	t.engine.SetNodes(nodes, max(gatherers, set.Total()))
+	t.engine.SetPeers(set, t.mesh.Call)
 }
 
 func (t *Tier) nodeOf(r member.Record) gather.Node {
@@ -205,6 +207,7 @@
 	begun := time.Now()
 	t.fire(life.OrderLeave)
 	t.handler.Stop()
+	t.mesh.Leave()
 	sleep(work, t.set.Stop.Notice)
 	end, cancel := context.WithDeadline(work, begun.Add(t.set.Stop.Grace-stopReserve))
 	defer cancel()
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -52,8 +52,8 @@
 
 // attempt is one send in flight.
 type attempt struct {
-	number   int
-	upstream Upstream
+	number int
+	uses   int
 }
 
 // New prepares a request; Step(Start{}) begins it.
@@ -110,9 +110,10 @@
 func (f *Fanout) send(i int, u Upstream, why Reason, now time.Time) {
 	l := &f.legs[i]
 	n := i*attemptsPerLeg + l.sends
+	uses := f.deps.Uses(u)
 	l.sends++
-	l.reached++
-	l.live = append(l.live, attempt{number: n, upstream: u})
+	l.reached += uses
+	l.live = append(l.live, attempt{number: n, uses: uses})
 	l.tried = append(l.tried, u)
 	l.retryAt = time.Time{}
 	l.hedgeAt = time.Time{}
@@ -146,7 +147,8 @@
 func (f *Fanout) failed(ev Failed, now time.Time) {
 	i := Leg(ev.Attempt)
 	l := &f.legs[i]
-	if !l.remove(ev.Attempt) || l.state != legOpen {
+	a, ok := l.remove(ev.Attempt)
+	if !ok || l.state != legOpen {
 		return
 	}
 	l.sent = l.sent || !ev.Unsent
@@ -155,7 +157,7 @@
 		return
 	}
 	if ev.Unsent {
-		l.reached--
+		l.reached -= a.uses
 	}
 	if len(l.live) == 0 {
 		f.again(i, now)
@@ -295,13 +297,13 @@
 	return b
 }
 
-// remove forgets an attempt in flight and tells whether there was one.
-func (l *leg) remove(n int) bool {
+// remove forgets an attempt in flight, if there is one.
+func (l *leg) remove(n int) (attempt, bool) {
 	for i, a := range l.live {
 		if a.number == n {
 			l.live = append(l.live[:i], l.live[i+1:]...)
-			return true
+			return a, true
 		}
 	}
-	return false
+	return attempt{}, false
 }
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -8,6 +8,7 @@
 
 // fakeDeps offers two upstreams for each service, "a" and "b".
 type fakeDeps struct {
+	uses       int
 	hedgeAfter time.Duration
 	expected   time.Duration
 	budget     int
@@ -21,6 +22,8 @@
 	return service + string(rune('a'+len(tried))), true
 }
 
+func (d *fakeDeps) Uses(Upstream) int { return max(d.uses, 1) }
+
 func (d *fakeDeps) HedgeAfter(Upstream) time.Duration { return d.hedgeAfter }
 
 func (d *fakeDeps) Expected(_ string, tried []Upstream) (time.Duration, bool) {
@@ -170,3 +173,25 @@
 		}
 	})
 }
+
+// Replays a peer that hedges by itself: with two attempts allowed the caller must
+// add none, unless nothing was sent.
+func TestPeerUsesAllAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, unsent := range []bool{false, true} {
+			f := New(plan(1, 1), &fakeDeps{uses: 2, hedgeAfter: 30 * time.Millisecond, expected: time.Millisecond, budget: 9})
+			f.Step(Start{})
+			time.Sleep(100 * time.Millisecond)
+			if got := len(sends(f.Step(Tick{}))); got != 0 {
+				t.Errorf("hedges = %d, want 0", got)
+			}
+			got, want := len(sends(f.Step(Failed{NotRun: unsent, Unsent: unsent}))), 0
+			if unsent {
+				want = 1
+			}
+			if got != want {
+				t.Errorf("sends after a failure, unsent %v = %d, want %d", unsent, got, want)
+			}
+		}
+	})
+}
--- a/pkg/fanout/types.go
+++ b/pkg/fanout/types.go
@@ -41,6 +41,9 @@
 type Deps interface {
 	// Pick chooses an upstream of the service that is not among the tried.
 	Pick(service string, tried []Upstream) (Upstream, bool)
+	// Uses is how many upstreams an attempt may reach: one, or more when a
+	// peer that hedges by itself makes the attempt.
+	Uses(u Upstream) int
 	// HedgeAfter is how long an attempt at the upstream may take before a
 	// hedge is worth its cost.
 	HedgeAfter(u Upstream) time.Duration
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -41,6 +41,7 @@
 	gathers bool
 	own     []Node
 	regions map[string][]Node
+	total   int
 }
 
 // New chooses the gatherers among the live nodes, which need not hold self.
@@ -54,6 +55,7 @@
 	s := &Set{self: self, regions: make(map[string][]Node)}
 	for domain, members := range byDomain {
 		chosen := choose(members)
+		s.total += len(chosen)
 		if domain == self.Domain {
 			s.own = chosen
 		}
@@ -112,5 +114,5 @@
 // Region lists the gatherers of another region.
 func (s *Set) Region(name string) []Node { return s.regions[name] }
 
-// Gatherers is how many nodes of the own domain gather.
-func (s *Set) Gatherers() int { return len(s.own) }
+// Total is how many nodes gather in all domains together.
+func (s *Set) Total() int { return s.total }
--- a/pkg/vhost/vhost.go
+++ b/pkg/vhost/vhost.go
@@ -169,6 +169,7 @@
 	routes  []*Route
 	limits  Limits
 	conns   map[string]int
+	shards  map[string]bool
 }
 
 // Limits bound what callers may send.
@@ -203,13 +204,18 @@
 // New returns the snapshot of a version. Of two routes with one host and prefix
 // the later one wins.
 func New(version uint64, routes []*Route, opts ...SnapshotOption) *Snapshot {
-	s := &Snapshot{version: version, hosts: make(map[string][]*Route), routes: routes}
+	s := &Snapshot{version: version, hosts: make(map[string][]*Route), routes: routes, shards: make(map[string]bool)}
 	for _, opt := range opts {
 		opt(s)
 	}
 	for i := len(routes) - 1; i >= 0; i-- {
 		r := routes[i]
 		s.hosts[r.host] = append(s.hosts[r.host], r)
+		if g, ok := r.destination.(Gather); ok {
+			for _, service := range g.shards {
+				s.shards[service] = true
+			}
+		}
 	}
 	for _, list := range s.hosts {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].prefix) > len(list[j].prefix) })
@@ -230,6 +236,9 @@
 // the whole tier, or 0 if that is not known.
 func (s *Snapshot) Connections(service string) int { return s.conns[service] }
 
+// Shard tells whether a route gathers from the service.
+func (s *Snapshot) Shard(service string) bool { return s.shards[service] }
+
 // Match finds the route of the host, which may carry a port, whose prefix is
 // the longest that begins the path.
 func (s *Snapshot) Match(host, path string) (*Route, bool) {
