reader: nodes take over the reading of the store in turns

Change: a node waits 250 ms for each live member that ranks before it; one that has just started waits 1.2 s for the seeds.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,9 @@
 	probePeriod  = 800 * time.Millisecond
 	probeTimeout = 400 * time.Millisecond
 	suspicion    = 2 * time.Second
+	// startWait is how long a node that has just started waits for the seeds
+	// to tell what they know, before it reads the store itself.
+	startWait = 1200 * time.Millisecond
 	// greetEvery is how often seeds are tried while no other node is known.
 	greetEvery = time.Second
 	// callTimeout bounds calls between nodes that carry state.
@@ -65,12 +69,14 @@
 	beats   map[string]heardBeat
 	conns   map[net.Conn]bool
 
-	reads   atomic.Bool
-	pulling [2]atomic.Bool
-	syncing atomic.Bool
-	tasks   sync.WaitGroup
-	work    context.Context
-	stop    context.CancelFunc
+	reads atomic.Bool
+	// heardReader is when a fresh reader was last heard; only Run uses it.
+	heardReader time.Time
+	pulling     [2]atomic.Bool
+	syncing     atomic.Bool
+	tasks       sync.WaitGroup
+	work        context.Context
+	stop        context.CancelFunc
 }
 
 // heardBeat is a beat and when it came.
@@ -115,10 +121,18 @@
 	for _, opt := range opts {
 		opt(m)
 	}
-	m.reads.Store(true)
+	m.heardReader = time.Now()
+	if !m.isSeed() {
+		m.heardReader = m.heardReader.Add(startWait)
+	}
 	return m
 }
 
+// isSeed tells whether the others begin with this node.
+func (m *Mesh) isSeed() bool {
+	return len(m.seeds) == 0 || slices.Contains(m.seeds, m.self.Addr)
+}
+
 // Reads tells whether this node reads the store.
 func (m *Mesh) Reads() bool { return m.reads.Load() }
 
@@ -316,18 +330,31 @@
 // decide settles whether this node reads the store.
 func (m *Mesh) decide() {
 	now := time.Now()
-	m.mu.Lock()
-	var peers []reader.Peer
-	for name, b := range m.beats {
-		peers = append(peers, reader.Peer{Name: name, Silent: now.Sub(b.at), StoreAge: b.beat.StoreAge})
+	peers := m.readers(now)
+	if reader.Heard(m.self.VM, peers) {
+		m.heardReader = now
 	}
-	m.mu.Unlock()
-	reads := reader.Decide(m.self.VM, peers)
+	var names []string
+	for _, r := range m.domain() {
+		names = append(names, r.VM)
+	}
+	reads := reader.Decide(m.self.VM, names, peers, now.Sub(m.heardReader))
 	if m.reads.Swap(reads) != reads {
-		m.log.WithFields(logrus.Fields{"reads": reads, "peers": len(peers)}).Info("mesh: changed who reads the store.")
+		m.log.WithFields(logrus.Fields{"reads": reads, "members": len(names), "readers": len(peers)}).Info("mesh: changed who reads the store.")
 	}
 }
 
+// readers lists the nodes of the domain that have sent beats.
+func (m *Mesh) readers(now time.Time) []reader.Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []reader.Peer
+	for name, b := range m.beats {
+		list = append(list, reader.Peer{Name: name, Silent: now.Sub(b.at), StoreAge: b.beat.StoreAge})
+	}
+	return list
+}
+
 // BestStoreAge is how old the newest answer from the store is that this node
 // or the reader of its domain has.
 func (m *Mesh) BestStoreAge() time.Duration {
--- /dev/null
+++ b/internal/relay/handoff_test.go
@@ -0,0 +1,153 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"geraniumstep.org/geraniumstep/internal/inner"
+	"geraniumstep.org/geraniumstep/pkg/fleet"
+	"geraniumstep.org/geraniumstep/pkg/gather"
+	"geraniumstep.org/geraniumstep/pkg/vhost"
+)
+
+// pair is a node in region "a" and one in region "b" that gathers for it.
+type pair struct {
+	near, far *Engine
+	farUps    []*standin
+	nearUps   []*standin
+	calls     int
+	fail      error
+}
+
+// call stands in for the connection between the nodes.
+func (p *pair) call(_ context.Context, _, method string, args, reply any) error {
+	if p.fail != nil {
+		return p.fail
+	}
+	if method == GatherService+".Cancel" {
+		return p.far.Gatherer().Cancel(args.(*CancelCall), &None{})
+	}
+	p.calls++
+	return p.far.Gatherer().Gather(args.(*GatherCall), reply.(*GatherReply))
+}
+
+// newPair makes 3 shards with an upstream in each region and 4 in "b" alone.
+func newPair(t *testing.T, least float64) *pair {
+	t.Helper()
+	p := &pair{}
+	var shards []string
+	var entries []fleet.Entry
+	for i := range 7 {
+		service := fmt.Sprintf("shard-%d", i)
+		shards = append(shards, service)
+		up := newStandin(t, fmt.Sprintf("up-%d", i))
+		domain := "b1"
+		if i < 3 {
+			domain = "a1"
+			p.nearUps = append(p.nearUps, up)
+		} else {
+			p.farUps = append(p.farUps, up)
+		}
+		entries = append(entries, up.entry(service, fleet.WithDomain(domain)))
+	}
+	regions := map[string]string{"a1": "a", "b1": "b"}
+	routes := []*vhost.Route{gatherRoute(shards, least)}
+	p.near, p.far = newEngine(t, routes), newEngine(t, routes)
+	WithPlace("a1", regions)(p.near)
+	WithPlace("b1", regions)(p.far)
+	p.near.SetUpstreams(entries)
+	p.far.SetUpstreams(entries)
+	a := gather.Node{VM: "vm-a", Addr: "a:1", Domain: "a1", Region: "a", Capacity: 1}
+	b := gather.Node{VM: "vm-b", Addr: "b:1", Domain: "b1", Region: "b", Capacity: 1}
+	p.near.SetPeers(gather.New(a, []gather.Node{b}), p.call)
+	p.far.SetPeers(gather.New(b, []gather.Node{a}), p.call)
+	return p
+}
+
+func TestFarShardsAreGatheredThere(t *testing.T) {
+	p := newPair(t, 1)
+	got, ok := p.near.Do(context.Background(), request("search", "r-1")).(Merged)
+	if !ok || got.Missing != 0 || p.calls != 1 {
+		t.Fatalf("Do() = %+v after %d calls, want all parts after one", got, p.calls)
+	}
+	sort.Strings(got.Proofs)
+	want := "up-0.r-1 up-1.r-1 up-2.r-1 up-3.r-1 up-4.r-1 up-5.r-1 up-6.r-1"
+	if proofs := strings.Join(got.Proofs, " "); proofs != want {
+		t.Errorf("proofs = %s, want %s", proofs, want)
+	}
+	if got, want := string(got.Body[:16]), fmt.Sprintf("%-16s", "up-6"); got != want {
+		t.Errorf("greatest record = %q, want %q", got, want)
+	}
+	for _, up := range append(p.nearUps, p.farUps...) {
+		if up.runs.Load() != 1 {
+			t.Errorf("%s ran %d times, want once", up.id, up.runs.Load())
+		}
+	}
+}
+
+func TestPeerThatCannotBeReachedIsReplaced(t *testing.T) {
+	p := newPair(t, 1)
+	p.fail = inner.ErrUnsent
+	got, ok := p.near.Do(context.Background(), request("search", "r-1")).(Merged)
+	if !ok || got.Missing != 0 {
+		t.Errorf("Do() = %+v, want all parts, reached directly", got)
+	}
+}
+
+func TestPeerThatBreaksCostsItsLegsOnly(t *testing.T) {
+	p := newPair(t, 0.4)
+	p.fail = errors.New("connection broke")
+	got, ok := p.near.Do(context.Background(), request("search", "r-1")).(Merged)
+	if !ok || got.Missing != 4 {
+		t.Errorf("Do() = %+v, want the 3 near parts", got)
+	}
+	for _, up := range p.farUps {
+		if up.runs.Load() != 0 {
+			t.Errorf("%s ran %d times although the peer may have reached it", up.id, up.runs.Load())
+		}
+	}
+}
+
+// Replays a straggler at the peer: the peer answers early enough with the legs
+// that it has.
+func TestPeerAnswersInTimeWithWhatItHas(t *testing.T) {
+	p := newPair(t, 0.8)
+	p.farUps[1].behave(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	begun := time.Now()
+	got, ok := p.near.Do(context.Background(), request("search", "r-1")).(Merged)
+	if !ok || got.Missing != 1 {
+		t.Errorf("Do() = %+v, want 6 parts", got)
+	}
+	if took := time.Since(begun); took > 400*time.Millisecond {
+		t.Errorf("answer took %v, want it within the target", took)
+	}
+}
+
+func TestCallerGoneReachesThePeer(t *testing.T) {
+	p := newPair(t, 1)
+	begun, ended := make(chan struct{}), make(chan struct{})
+	p.farUps[0].behave(func(_ http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-begun
+		cancel()
+	}()
+	if answer := p.near.Do(ctx, request("search", "r-1")); answerName(answer) != "abandoned" {
+		t.Errorf("Do() = %+v, want Abandoned", answer)
+	}
+	select {
+	case <-ended:
+	case <-time.After(400 * time.Millisecond):
+		t.Error("the peer's upstream still worked 400 ms after the caller had gone")
+	}
+}
--- a/pkg/reader/reader.go
+++ b/pkg/reader/reader.go
@@ -1,9 +1,10 @@
 // Package reader decides which nodes of a failure domain read the platform's
 // store for the others. Each call to the store has a price, and its rates grow
 // more slowly than the fleet; so one node of each domain reads and tells the
-// others, and any node reads for itself when it hears from no better one.
+// others. When no reader is heard, the nodes take over in the order of their
+// rank, one after the other, until one is heard.
 //
-//	if reader.Decide(self, peers) { … }
+//	if reader.Decide(self, members, beats, missing) { … }
 package reader
 
 import (
@@ -33,19 +34,43 @@
 	StoreAge time.Duration
 }
 
+const (
+	// turn is how long a node waits for each live member of its domain that
+	// ranks before it, and maxTurns bounds the wait.
+	turn     = 250 * time.Millisecond
+	maxTurns = 8
+)
+
 // Decide tells whether the node must read the store itself: when no node that
-// ranks before it is heard and has a fresh answer.
-func Decide(self string, peers []Peer) bool {
-	own := rank(self)
-	for _, p := range peers {
-		if r := rank(p.Name); r > own || r == own && p.Name >= self {
-			continue
+// ranks before it is heard and has a fresh answer, and its turn has come. Members
+// are the other live nodes of the domain, and missing is how long no fresh
+// reader has been heard.
+func Decide(self string, members []string, peers []Peer, missing time.Duration) bool {
+	if Heard(self, peers) {
+		return false
+	}
+	before := 0
+	for _, name := range members {
+		if ranksBefore(name, self) {
+			before++
 		}
-		if p.Silent < silence && p.Silent+p.StoreAge < staleAfter {
-			return false
+	}
+	return missing >= time.Duration(min(before, maxTurns))*turn
+}
+
+// Heard tells whether a node that ranks before self is heard and fresh.
+func Heard(self string, peers []Peer) bool {
+	for _, p := range peers {
+		if ranksBefore(p.Name, self) && p.Silent < silence && p.Silent+p.StoreAge < staleAfter {
+			return true
 		}
 	}
-	return true
+	return false
+}
+
+func ranksBefore(a, b string) bool {
+	ra, rb := rank(a), rank(b)
+	return ra < rb || ra == rb && a < b
 }
 
 // rank orders the nodes of a domain the same way everywhere.
--- a/pkg/reader/reader_test.go
+++ b/pkg/reader/reader_test.go
@@ -23,7 +23,7 @@
 					peers = append(peers, fresh(fmt.Sprintf("vm-%d", k)))
 				}
 			}
-			if Decide(fmt.Sprintf("vm-%d", i), peers) {
+			if Decide(fmt.Sprintf("vm-%d", i), nil, peers, time.Hour) {
 				reads++
 			}
 		}
@@ -46,7 +46,7 @@
 				StoreAge: time.Duration(rapid.IntRange(0, 5000).Draw(t, "age")) * time.Millisecond,
 			})
 		}
-		if Decide("vm-0", peers) {
+		if Decide("vm-0", nil, peers, time.Hour) {
 			return
 		}
 		for _, p := range peers {
@@ -59,7 +59,36 @@
 }
 
 func TestAloneReads(t *testing.T) {
-	if !Decide("vm-0", nil) {
+	if !Decide("vm-0", nil, nil, 0) {
 		t.Error("Decide() without peers = false, want true")
 	}
 }
+
+// Replays a start of many nodes at once, and the loss of a reader: nodes take
+// over one by one, and the last within a bounded time.
+func TestNodesTakeTurns(t *testing.T) {
+	const n = 14
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprintf("vm-%d", i))
+	}
+	reading := func(missing time.Duration) int {
+		reads := 0
+		for i, name := range names {
+			others := append(append([]string(nil), names[:i]...), names[i+1:]...)
+			if Decide(name, others, nil, missing) {
+				reads++
+			}
+		}
+		return reads
+	}
+	if got, want := reading(0), 1; got != want {
+		t.Errorf("nodes that read at once = %d, want %d", got, want)
+	}
+	if got, want := reading(turn), 2; got != want {
+		t.Errorf("nodes that read after a turn = %d, want %d", got, want)
+	}
+	if got, want := reading(maxTurns*turn), n; got != want {
+		t.Errorf("nodes that read in the end = %d, want %d", got, want)
+	}
+}
