--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -239,13 +239,13 @@
 	return place.OtherRegion
 }
 
-// pick chooses an upstream of the service by the evidence.
-func (d *directory) pick(service string, excluded func(u *upstream) bool) *upstream {
+// pick chooses an upstream of the service by the evidence and the time left.
+func (d *directory) pick(service string, left time.Duration, excluded func(u *upstream) bool) *upstream {
 	p, ok := d.byService[service]
 	if !ok {
 		return nil
 	}
-	i := place.Pick(p.stats, time.Now(), rand.IntN(len(p.stats)), func(i int) bool { return excluded(p.upstreams[i]) })
+	i := place.Pick(p.stats, time.Now(), place.DetourWithin(left), rand.IntN(len(p.stats)), func(i int) bool { return excluded(p.upstreams[i]) })
 	if i < 0 {
 		return nil
 	}
--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -98,7 +98,7 @@
 	if len(list) == 0 {
 		return nil
 	}
-	i := place.Pick(stats, time.Now(), rand.IntN(len(stats)), func(int) bool { return false })
+	i := place.Pick(stats, time.Now(), place.Detour{}, rand.IntN(len(stats)), func(int) bool { return false })
 	return list[i]
 }
 
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -438,13 +438,13 @@
 		delete(r.grouped, service)
 		return g, true
 	}
-	u := r.directory.pick(service, func(u *upstream) bool { return contains(tried, u) })
+	u := r.directory.pick(service, time.Until(r.plan.Soft), func(u *upstream) bool { return contains(tried, u) })
 	return u, u != nil
 }
 
 // Expected implements fanout.Deps.
 func (r *run) Expected(service string, tried []fanout.Upstream) (time.Duration, bool) {
-	u := r.directory.pick(service, func(u *upstream) bool { return contains(tried, u) })
+	u := r.directory.pick(service, time.Until(r.plan.Soft), func(u *upstream) bool { return contains(tried, u) })
 	if u == nil {
 		return 0, false
 	}
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -3,7 +3,8 @@
 // said of its queue, and how often it failed. Near upstreams come first until a
 // farther one is clearly faster.
 //
-//	i := place.Pick(stats, time.Now(), first, func(i int) bool { return tried[i] })
+//	d := place.DetourWithin(left)
+//	i := place.Pick(stats, time.Now(), d, first, func(i int) bool { return tried[i] })
 package place
 
 import (
@@ -51,13 +52,38 @@
 	shutTime = 3 * time.Second
 )
 
-// travel is the round trip that is assumed for a distance; farCost is what
-// bytes over the distance cost beside it.
-var (
-	travel  = [...]time.Duration{SameDomain: 0, SameRegion: 2 * time.Millisecond, OtherRegion: 30 * time.Millisecond}
-	farCost = [...]time.Duration{SameDomain: 0, SameRegion: time.Millisecond, OtherRegion: 12 * time.Millisecond}
+// travel is the round trip that is assumed for a distance.
+var travel = [...]time.Duration{SameDomain: 0, SameRegion: 2 * time.Millisecond, OtherRegion: 30 * time.Millisecond}
+
+// Detour is how much longer an answer may take to spare the bytes to another
+// failure domain and to another region.
+type Detour struct{ domain, region time.Duration }
+
+const (
+	// detourShare is the part of the time left, as one in so many, that an
+	// answer may take longer to stay in the region, and maxDomainDetour the
+	// same, as a time, to stay in the failure domain.
+	detourShare     = 5
+	maxDomainDetour = 2 * time.Millisecond
 )
 
+// DetourWithin gives what may be spent of the time left until the target.
+func DetourWithin(left time.Duration) Detour {
+	region := max(left, 0) / detourShare
+	return Detour{region: region, domain: min(region, maxDomainDetour)}
+}
+
+// cost is what the distance costs.
+func (d Detour) cost(far Distance) time.Duration {
+	switch far {
+	case SameRegion:
+		return d.domain
+	case OtherRegion:
+		return d.region
+	}
+	return 0
+}
+
 // Stats is the evidence about one upstream. It is safe for concurrent use.
 type Stats struct {
 	distance Distance
@@ -180,8 +206,8 @@
 
 // Cost is what sending a request there costs: the time to an answer, the chance
 // of a failure and the distance.
-func (s *Stats) Cost(now time.Time) time.Duration {
-	cost := s.Expected(now) + farCost[s.distance]
+func (s *Stats) Cost(now time.Time, d Detour) time.Duration {
+	cost := s.Expected(now) + d.cost(s.distance)
 	cost += time.Duration(s.failureRate(now) * float64(failureCost))
 	if now.UnixNano() < s.shutTill.Load() {
 		cost += shutCost
@@ -197,14 +223,14 @@
 
 // Pick chooses the candidate of the least cost. The search begins at first, so
 // that equal candidates share the work. It returns -1 when there is none.
-func Pick(candidates []*Stats, now time.Time, first int, excluded func(i int) bool) int {
+func Pick(candidates []*Stats, now time.Time, d Detour, first int, excluded func(i int) bool) int {
 	best, bestCost := -1, time.Duration(0)
 	for k := range candidates {
 		i := (first + k) % len(candidates)
 		if excluded(i) {
 			continue
 		}
-		cost := candidates[i].Cost(now)
+		cost := candidates[i].Cost(now, d)
 		if best < 0 || float64(cost) < float64(bestCost)*clearlyBetter {
 			best, bestCost = i, cost
 		}
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -8,6 +8,9 @@
 
 func none(int) bool { return false }
 
+// detour is that of a request with 60 ms left.
+var detour = DetourWithin(60 * time.Millisecond)
+
 // settle gives an upstream a history of answers of the given latency.
 func settle(s *Stats, took time.Duration) {
 	for range 30 {
@@ -19,7 +22,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		near, far := NewStats(SameDomain, 2, time.Time{}), NewStats(OtherRegion, 2, time.Time{})
 		for first := range 2 {
-			if got, want := Pick([]*Stats{far, near}, time.Now(), first, none), 1; got != want {
+			if got, want := Pick([]*Stats{far, near}, time.Now(), detour, first, none), 1; got != want {
 				t.Errorf("Pick() from %d = %d, want %d", first, got, want)
 			}
 		}
@@ -35,13 +38,13 @@
 		settle(far, 50*time.Millisecond)
 		near.Begin()
 		time.Sleep(120 * time.Millisecond)
-		if got, want := Pick([]*Stats{near, far}, time.Now(), 0, none), 1; got != want {
+		if got, want := Pick([]*Stats{near, far}, time.Now(), detour, 0, none), 1; got != want {
 			t.Errorf("Pick() during the pause = %d, want %d", got, want)
 		}
 		near.Answered(300 * time.Millisecond)
 		near.End()
 		time.Sleep(5 * time.Second)
-		if got, want := Pick([]*Stats{near, far}, time.Now(), 0, none), 0; got != want {
+		if got, want := Pick([]*Stats{near, far}, time.Now(), detour, 0, none), 0; got != want {
 			t.Errorf("Pick() after it = %d, want %d", got, want)
 		}
 	})
@@ -55,11 +58,11 @@
 		for range 3 {
 			grey.Failed()
 		}
-		if got, want := Pick([]*Stats{grey, far}, time.Now(), 0, none), 1; got != want {
+		if got, want := Pick([]*Stats{grey, far}, time.Now(), detour, 0, none), 1; got != want {
 			t.Errorf("Pick() = %d, want %d", got, want)
 		}
 		time.Sleep(30 * time.Second)
-		if got, want := Pick([]*Stats{grey, far}, time.Now(), 0, none), 0; got != want {
+		if got, want := Pick([]*Stats{grey, far}, time.Now(), detour, 0, none), 0; got != want {
 			t.Errorf("Pick() after 30 s = %d, want %d", got, want)
 		}
 	})
@@ -69,7 +72,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		list := []*Stats{NewStats(SameDomain, 2, time.Time{}), NewStats(SameDomain, 2, time.Time{})}
 		for range 8 {
-			list[Pick(list, time.Now(), 0, none)].Begin()
+			list[Pick(list, time.Now(), detour, 0, none)].Begin()
 		}
 		if a, b := list[0].InFlight(), list[1].InFlight(); a < 3 || b < 3 {
 			t.Errorf("requests in flight = %d and %d, want them shared", a, b)
@@ -82,11 +85,28 @@
 		gone, slow := NewStats(SameDomain, 2, time.Time{}), NewStats(OtherRegion, 2, time.Time{})
 		settle(slow, 2*time.Second)
 		gone.Gone()
-		if got, want := Pick([]*Stats{gone, slow}, time.Now(), 0, none), 1; got != want {
+		if got, want := Pick([]*Stats{gone, slow}, time.Now(), detour, 0, none), 1; got != want {
 			t.Errorf("Pick() = %d, want %d", got, want)
 		}
-		if got, want := Pick([]*Stats{gone}, time.Now(), 0, none), 0; got != want {
+		if got, want := Pick([]*Stats{gone}, time.Now(), detour, 0, none), 0; got != want {
 			t.Errorf("Pick() of it alone = %d, want %d", got, want)
 		}
 	})
 }
+
+// Replays a search with much time left while its near upstream is slow: it stays
+// in the region, where one in a hurry goes far.
+func TestTimeLeftIsSpentOnStayingNear(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := NewStats(SameDomain, 2, time.Time{}), NewStats(OtherRegion, 2, time.Time{})
+		settle(near, 80*time.Millisecond)
+		settle(far, 50*time.Millisecond)
+		stats := []*Stats{near, far}
+		if got, want := Pick(stats, time.Now(), DetourWithin(40*time.Millisecond), 0, none), 1; got != want {
+			t.Errorf("Pick() in a hurry = %d, want %d", got, want)
+		}
+		if got, want := Pick(stats, time.Now(), DetourWithin(230*time.Millisecond), 0, none), 0; got != want {
+			t.Errorf("Pick() with time left = %d, want %d", got, want)
+		}
+	})
+}
