relay: attempts may outlive their search without waiting for it

Cause: found by reading: the channel of events had room for two attempts of each leg; with more allowed, an attempt that ended after its search waited forever. Change: a search that ends says so; idle connections that the upstream has closed are dropped when another is kept; readers that were not heard for a minute are forgotten. Result: TestAttemptsOutliveTheSearch failed before (Close hung), passes now.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -37,6 +37,8 @@
 	// callTimeout bounds calls between nodes that carry state.
 	callTimeout = 1500 * time.Millisecond
 	maxDatagram = 16 << 10
+	// forgetBeats is when a node that no longer reads is forgotten as a reader.
+	forgetBeats = time.Minute
 )
 
 // State is what the nodes pass on to each other.
@@ -350,6 +352,10 @@
 	defer m.mu.Unlock()
 	var list []reader.Peer
 	for name, b := range m.beats {
+		if now.Sub(b.at) > forgetBeats {
+			delete(m.beats, name)
+			continue
+		}
 		list = append(list, reader.Peer{Name: name, Silent: now.Sub(b.at), StoreAge: b.beat.StoreAge})
 	}
 	return list
--- a/internal/relay/gather_test.go
+++ b/internal/relay/gather_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"geraniumstep.org/geraniumstep/pkg/extra"
 	"geraniumstep.org/geraniumstep/pkg/fleet"
 	"geraniumstep.org/geraniumstep/pkg/vhost"
 )
@@ -201,3 +202,38 @@
 		}
 	}
 }
+
+// Replays shards whose upstreams all hang: many attempts are still out when the
+// search ends, and none of them may wait for it forever.
+func TestAttemptsOutliveTheSearch(t *testing.T) {
+	const shards, replicas = 12, 4
+	var names []string
+	var entries []fleet.Entry
+	for i := range shards {
+		names = append(names, fmt.Sprintf("shard-%d", i))
+		for k := range replicas {
+			up := newStandin(t, fmt.Sprintf("up-%d-%d", i, k))
+			up.behave(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+			entries = append(entries, up.entry(names[i]))
+		}
+	}
+	route := vhost.NewRoute("gather", "search", "/", vhost.NewGather(names, 5, 1), vhost.WithTarget(200*time.Millisecond),
+		vhost.WithTimeout(700*time.Millisecond), vhost.WithAttempts(replicas))
+	e := New(testDialect{}, WithBudget(extra.WithRatio(100)))
+	e.log.Logger.SetOutput(io.Discard)
+	e.SetRoutes(vhost.New(1, []*vhost.Route{route}))
+	e.SetUpstreams(entries)
+	if answer := e.Do(context.Background(), request("search", "r-1")); answerName(answer) != "unknown" {
+		t.Errorf("Do() = %+v, want Unknown", answer)
+	}
+	closed := make(chan struct{})
+	go func() {
+		e.Close()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(3 * time.Second):
+		t.Error("Close() waits for attempts of a search that has ended")
+	}
+}
--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -264,7 +264,7 @@
 			defer cancel()
 			d := groupDone{group: g}
 			d.err = r.engine.call(ctx, g.peer.node.Addr, GatherService+".Gather", call, &d.reply)
-			r.events <- d
+			r.tell(d)
 		})
 	}
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -38,8 +38,10 @@
 	gather    bool
 	topK      int
 
-	machine  *fanout.Fanout
-	events   chan event
+	machine *fanout.Fanout
+	events  chan event
+	// over is closed when nobody reads events any more.
+	over     chan struct{}
 	groups   []*group
 	attempts map[int]*attempt
 	parts    []*response
@@ -131,7 +133,9 @@
 func (r *run) execute(ctx context.Context) (fanout.Outcome, bool) {
 	r.parts = make([]*response, len(r.plan.Services))
 	r.attempts = make(map[int]*attempt)
-	r.events = make(chan event, 2*len(r.plan.Services)+maxSends)
+	r.events = make(chan event, len(r.plan.Services))
+	r.over = make(chan struct{})
+	defer close(r.over)
 	r.planGroups()
 	r.machine = fanout.New(r.plan, r)
 	timer := time.NewTimer(time.Until(r.plan.Deadline))
@@ -166,8 +170,13 @@
 	return 0, false
 }
 
-// maxSends is room for the retries of one leg in the channel of events.
-const maxSends = 16
+// tell hands an event to the run, unless it has ended.
+func (r *run) tell(ev event) {
+	select {
+	case r.events <- ev:
+	case <-r.over:
+	}
+}
 
 // ended records the end of an attempt and turns it into an event.
 func (r *run) ended(d done) fanout.Event {
@@ -219,7 +228,7 @@
 			r.engine.metrics.failures.WithLabelValues(d.cause).Inc()
 		}
 		r.logAttempt(d)
-		r.events <- d
+		r.tell(d)
 	})
 }
 
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -80,10 +80,20 @@
 	if u.closed {
 		return false
 	}
+	u.dropExpired(time.Now())
 	u.idle = append(u.idle, c)
 	return true
 }
 
+// dropExpired closes idle connections that the upstream has closed or will
+// close soon. The oldest come first. The lock is held.
+func (u *upstream) dropExpired(now time.Time) {
+	for len(u.idle) > 0 && now.After(u.idle[0].usable) {
+		_ = u.idle[0].Close()
+		u.idle = u.idle[1:]
+	}
+}
+
 // close closes the idle connections; those in use are closed after their
 // request.
 func (u *upstream) close() {
