mesh: pull changes, not wholes, and far ones only without a way to the store

Change: a view keeps its newest changes and gives what a node lacks; members of other domains are asked only when the own domain has had no answer from the store for 3.5 s; whole member views are compared between domains an eighth as often.

--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -16,8 +16,20 @@
 	// changed is the revision of the last batch that held changes.
 	changed uint64
 	objects map[string][]byte
+	// log holds the newest changes, each with the revision before its batch.
+	log []logged
 }
 
+// logged is one change and the span of revisions that its batch covers.
+type logged struct {
+	change   Change
+	from, to uint64
+}
+
+// logChanges is how many changes a view keeps for nodes that lag behind: more
+// than come in the seconds between two beats.
+const logChanges = 1024
+
 // NewView returns a view that knows nothing.
 func NewView() *View { return &View{objects: make(map[string][]byte)} }
 
@@ -52,10 +64,11 @@
 	default:
 		changes = v.update(b.Changes)
 	}
-	v.revision, v.known = b.Revision, true
 	if b.Whole || len(b.Changes) > 0 {
+		v.note(changes, b.Revision)
 		v.changed = b.Revision
 	}
+	v.revision, v.known = b.Revision, true
 	return changes, true
 }
 
@@ -91,6 +104,41 @@
 	return changes
 }
 
+// note adds the changes that lead from the last revision with changes to this one.
+func (v *View) note(changes []Change, to uint64) {
+	if !v.known {
+		return
+	}
+	for _, c := range changes {
+		v.log = append(v.log, logged{change: c, from: v.changed, to: to})
+	}
+	if over := len(v.log) - logChanges; over > 0 {
+		v.log = append([]logged(nil), v.log[over:]...)
+	}
+}
+
+// Since gives the changes after the revision, or all objects when the view no
+// longer knows them one by one.
+func (v *View) Since(revision uint64) Batch {
+	v.mu.Lock()
+	first := 0
+	for first < len(v.log) && v.log[first].to <= revision {
+		first++
+	}
+	// A batch may be cut off at the beginning of the log.
+	complete := first < len(v.log) && v.log[first].from <= revision && (first > 0 || len(v.log) < logChanges)
+	if !complete {
+		v.mu.Unlock()
+		return v.Whole()
+	}
+	defer v.mu.Unlock()
+	b := Batch{From: revision, Revision: v.changed}
+	for _, l := range v.log[first:] {
+		b.Changes = append(b.Changes, l.change)
+	}
+	return b
+}
+
 func (v *View) names() []string {
 	names := make([]string, 0, len(v.objects))
 	for name := range v.objects {
--- a/internal/follow/view_test.go
+++ b/internal/follow/view_test.go
@@ -77,3 +77,53 @@
 		}
 	})
 }
+
+// A node that pulls what it lacks ends up with the same objects, whether it gets
+// changes or the whole, from whatever revision it comes.
+func TestSinceBringsAnotherViewUpToDate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		full := NewView()
+		full.Apply(Batch{Whole: true, Revision: 10})
+		behind := NewView()
+		behind.Apply(Batch{Whole: true, Revision: 10})
+		revision := uint64(10)
+		for range rapid.IntRange(1, 60).Draw(t, "batches") {
+			b := Batch{From: revision, Revision: revision + uint64(rapid.IntRange(1, 3).Draw(t, "step"))}
+			for range rapid.IntRange(0, 60).Draw(t, "changes") {
+				name := fmt.Sprint("o", rapid.IntRange(0, 9).Draw(t, "object"))
+				if rapid.Bool().Draw(t, "gone") {
+					b.Changes = append(b.Changes, Change{Name: name, Gone: true})
+				} else {
+					b.Changes = append(b.Changes, object(name, fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "value"))))
+				}
+			}
+			revision = b.Revision
+			full.Apply(b)
+			if rapid.IntRange(0, 9).Draw(t, "pull") == 0 {
+				have, _ := behind.Position()
+				if _, ok := behind.Apply(full.Since(have)); !ok {
+					t.Fatalf("Apply(Since(%d)) = false, want true", have)
+				}
+				if got, want := fmt.Sprint(behind.Whole().Changes), fmt.Sprint(full.Whole().Changes); got != want {
+					t.Fatalf("after a pull from %d: %s, want %s", have, got, want)
+				}
+			}
+		}
+	})
+}
+
+func TestSinceSendsFewChanges(t *testing.T) {
+	v := NewView()
+	b := Batch{Whole: true, Revision: 1}
+	for i := range 500 {
+		b.Changes = append(b.Changes, object(fmt.Sprint(i), "x"))
+	}
+	v.Apply(b)
+	v.Apply(Batch{From: 1, Revision: 2, Changes: []Change{object("7", "y")}})
+	if got := v.Since(1); got.Whole || len(got.Changes) != 1 {
+		t.Errorf("Since(1) = %d changes, whole %v; want one change", len(got.Changes), got.Whole)
+	}
+	if got := v.Since(0); !got.Whole || len(got.Changes) != 500 {
+		t.Errorf("Since(0) = %d changes, whole %v; want all 500", len(got.Changes), got.Whole)
+	}
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -37,6 +37,12 @@
 	// callTimeout bounds calls between nodes that carry state.
 	callTimeout = 1500 * time.Millisecond
 	maxDatagram = 16 << 10
+	// storeLost is the age of the domain's newest answer from the store at
+	// which other domains are asked; a reader's turn comes before that.
+	storeLost = 3500 * time.Millisecond
+	// farSyncs is how many times as often whole views are compared within a
+	// failure domain as between two; news travels on the probes in any case.
+	farSyncs = 8
 	// forgetBeats is when a node that no longer reads is forgotten as a reader.
 	forgetBeats = time.Minute
 )
@@ -48,8 +54,8 @@
 	// Take applies what another node knows of a topic. It reports false when
 	// changes in between are missing.
 	Take(t follow.Topic, b follow.Batch) bool
-	// Whole gives all of a topic.
-	Whole(t follow.Topic) follow.Batch
+	// Since gives what a node lacks that knows a topic up to a revision.
+	Since(t follow.Topic, revision uint64) follow.Batch
 	// StoreAge is how old this node's last answer from the store is.
 	StoreAge() time.Duration
 }
@@ -208,9 +214,11 @@
 		case member.Send:
 			m.send(a.Addr, datagram{Message: &a.Message})
 		case member.Sync:
-			m.exchange(a.Addr)
+			if m.isNear(a.Addr) || rand.IntN(farSyncs) == 0 {
+				m.exchange(a.Addr)
+			}
 		case member.Heard:
-			m.heard(a.Addr, revisionsOf(a.Versions))
+			m.heardMember(a)
 		case member.Changed:
 		}
 	}
@@ -264,6 +272,24 @@
 	m.heard(b.Addr, b.Have)
 }
 
+// heardMember pulls from a member of another domain only when the own domain
+// has no way to the store: bytes between domains cost more than a call.
+func (m *Mesh) heardMember(h member.Heard) {
+	if m.isNear(h.Addr) || m.BestStoreAge() > storeLost {
+		m.heard(h.Addr, revisionsOf(h.Versions))
+	}
+}
+
+// isNear tells whether the address is of a member of this failure domain.
+func (m *Mesh) isNear(addr string) bool {
+	for _, r := range m.domain() {
+		if r.Addr == addr {
+			return true
+		}
+	}
+	return false
+}
+
 // heard pulls what another node knows more than this one.
 func (m *Mesh) heard(addr string, have Revisions) {
 	own := m.state.Revisions()
--- a/internal/mesh/serve.go
+++ b/internal/mesh/serve.go
@@ -53,7 +53,7 @@
 	if s.mesh.state.Revisions().Of(args.Topic) <= args.Have {
 		return nil
 	}
-	b := s.mesh.state.Whole(args.Topic)
+	b := s.mesh.state.Since(args.Topic, args.Have)
 	reply.Batch = &b
 	return nil
 }
--- a/internal/mesh/types.go
+++ b/internal/mesh/types.go
@@ -73,13 +73,13 @@
 	Batch follow.Batch `msgpack:"b"`
 }
 
-// Pull asks for all of a topic if the called node knows more than Have.
+// Pull asks for what the called node knows of a topic beyond Have.
 type Pull struct {
 	Topic follow.Topic `msgpack:"t"`
 	Have  uint64       `msgpack:"h"`
 }
 
-// PullReply carries the topic, or nothing.
+// PullReply carries the changes or the whole topic, or nothing.
 type PullReply struct {
 	Batch *follow.Batch `msgpack:"b"`
 }
--- a/internal/tier/state.go
+++ b/internal/tier/state.go
@@ -139,8 +139,10 @@
 		Info("tier: upstreams have changed.")
 }
 
-// Whole implements mesh.State.
-func (s *state) Whole(t follow.Topic) follow.Batch { return s.views[t].Whole() }
+// Since implements mesh.State.
+func (s *state) Since(t follow.Topic, revision uint64) follow.Batch {
+	return s.views[t].Since(revision)
+}
 
 // Revisions implements mesh.State.
 func (s *state) Revisions() mesh.Revisions {
