--- a/internal/tier/state.go
+++ b/internal/tier/state.go
@@ -59,32 +59,36 @@
 // Position implements follow.Sink.
 func (s *state) Position(t follow.Topic) (uint64, bool) { return s.views[t].Position() }
 
-// Apply implements follow.Sink.
+// Apply implements follow.Sink. The other nodes get what the batch changes here.
 func (s *state) Apply(t follow.Topic, b follow.Batch) {
 	from := s.views[t].Changed()
-	if !s.Take(t, b) || len(b.Changes) == 0 {
+	changes, ok := s.take(t, b)
+	if !ok || len(changes) == 0 {
 		return
 	}
-	if !b.Whole {
-		b.From = from
-	}
-	s.publish(t, b)
+	s.publish(t, follow.Batch{Changes: changes, Whole: from == 0, From: from, Revision: b.Revision})
 }
 
 // Take implements mesh.State.
 func (s *state) Take(t follow.Topic, b follow.Batch) bool {
+	_, ok := s.take(t, b)
+	return ok
+}
+
+// take applies a batch and gives what it changes.
+func (s *state) take(t follow.Topic, b follow.Batch) ([]follow.Change, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changes, ok := s.views[t].Apply(b)
 	if !ok || len(changes) == 0 {
-		return ok
+		return nil, ok
 	}
 	if t == follow.Routes {
 		s.applyRoutes(changes, b.Revision)
 	} else if s.applyUpstreams(changes) {
 		s.publishUpstreams(b.Revision)
 	}
-	return true
+	return changes, true
 }
 
 func (s *state) applyRoutes(changes []follow.Change, revision uint64) {
