--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -32,6 +32,9 @@
 	// startWait is how long a node that has just started waits for the seeds
 	// to tell what they know, before it reads the store itself.
 	startWait = 1200 * time.Millisecond
+	// remoteEvery spares bytes between domains: membership of other domains
+	// may lag by some seconds, calls to their nodes show more.
+	remoteEvery = 4
 	// greetEvery is how often seeds are tried while no other node is known.
 	greetEvery = time.Second
 	// callTimeout bounds calls between nodes that carry state.
@@ -123,7 +126,8 @@
 	}
 	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	m.tracker = member.New(self, source,
-		member.WithPeriod(probePeriod), member.WithTimeout(probeTimeout), member.WithSuspicion(suspicion))
+		member.WithPeriod(probePeriod), member.WithTimeout(probeTimeout), member.WithSuspicion(suspicion),
+		member.WithRemoteEvery(remoteEvery))
 	m.work, m.stop = context.WithCancel(context.Background())
 	WithService(service, &methods{mesh: m})(m)
 	for _, opt := range opts {
--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -73,6 +74,9 @@
 		}
 	}
 	add(set.Own())
+	for domain := range e.regions {
+		add(set.Domain(domain))
+	}
 	for _, region := range e.regions {
 		add(set.Region(region))
 	}
@@ -188,8 +192,12 @@
 		r.group(p.pick(p.set.Own()), r.plan.Services)
 		return
 	}
-	for region, services := range r.farLegs() {
-		r.group(p.pick(p.set.Region(region)), services)
+	for where, services := range r.awayLegs() {
+		nodes := p.set.Region(where.region)
+		if where.domain != "" {
+			nodes = p.set.Domain(where.domain)
+		}
+		r.group(p.pick(nodes), services)
 	}
 }
 
@@ -205,23 +213,30 @@
 	}
 }
 
-// farLegs lists the services whose upstreams are all in other regions, by the
-// region that takes most of them.
-func (r *run) farLegs() map[string][]string {
-	regions := make(map[string][]string)
-	choices := make(map[string][]string)
+// away names where legs are gathered by another node: a failure domain of this
+// region, or another region.
+type away struct{ domain, region string }
+
+// awayLegs lists the services that have no upstream in this failure domain, by
+// the place that takes most of them.
+func (r *run) awayLegs() map[away][]string {
+	counts := make(map[away]int)
+	choices := make(map[string][]away)
 	for _, s := range r.plan.Services {
-		for _, region := range r.engine.farRegions(r.directory, s) {
-			regions[region] = append(regions[region], s)
-			choices[s] = append(choices[s], region)
+		choices[s] = r.engine.awayFrom(r.directory, s)
+		for _, where := range choices[s] {
+			counts[where]++
 		}
 	}
-	out := make(map[string][]string)
-	for s, list := range choices {
-		best := list[0]
-		for _, region := range list[1:] {
-			if len(regions[region]) > len(regions[best]) || len(regions[region]) == len(regions[best]) && region < best {
-				best = region
+	out := make(map[away][]string)
+	for _, s := range r.plan.Services {
+		if len(choices[s]) == 0 {
+			continue
+		}
+		best := choices[s][0]
+		for _, where := range choices[s][1:] {
+			if counts[where] > counts[best] || counts[where] == counts[best] && where.before(best) {
+				best = where
 			}
 		}
 		out[best] = append(out[best], s)
@@ -229,21 +244,34 @@
 	return out
 }
 
-// farRegions lists the regions of a service's upstreams, or none if one of them
-// is in this node's region.
-func (e *Engine) farRegions(d *directory, service string) []string {
+func (a away) before(b away) bool {
+	return a.region < b.region || a.region == b.region && a.domain < b.domain
+}
+
+// awayFrom lists where a service can be gathered by another node: nowhere if this
+// domain has an upstream, in the other domains of this region if one of them
+// has, else in other regions.
+func (e *Engine) awayFrom(d *directory, service string) []away {
 	p, ok := d.byService[service]
 	if !ok {
 		return nil
 	}
-	var list []string
+	nearest := place.OtherRegion
+	for _, u := range p.upstreams {
+		nearest = min(nearest, u.stats.Distance())
+	}
+	var list []away
 	for _, u := range p.upstreams {
-		if u.stats.Distance() != place.OtherRegion {
-			return nil
+		domain := u.entry.Domain()
+		if u.stats.Distance() != nearest || nearest == place.SameDomain {
+			continue
+		}
+		where := away{region: e.regions[domain]}
+		if nearest == place.SameRegion {
+			where.domain = domain
 		}
-		region := e.regions[u.entry.Domain()]
-		if len(list) == 0 || list[0] != region {
-			list = append(list, region)
+		if !slices.Contains(list, where) {
+			list = append(list, where)
 		}
 	}
 	return list
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -40,6 +40,7 @@
 	self    Node
 	gathers bool
 	own     []Node
+	domains map[string][]Node // of the other domains of this region
 	regions map[string][]Node
 	total   int
 }
@@ -52,7 +53,7 @@
 			byDomain[n.Domain] = append(byDomain[n.Domain], n)
 		}
 	}
-	s := &Set{self: self, regions: make(map[string][]Node)}
+	s := &Set{self: self, domains: make(map[string][]Node), regions: make(map[string][]Node)}
 	for domain, members := range byDomain {
 		chosen := choose(members)
 		s.total += len(chosen)
@@ -62,6 +63,8 @@
 		for _, n := range chosen {
 			if n.Region != self.Region {
 				s.regions[n.Region] = append(s.regions[n.Region], n)
+			} else if domain != self.Domain {
+				s.domains[domain] = append(s.domains[domain], n)
 			}
 		}
 	}
@@ -111,6 +114,9 @@
 // Own lists the gatherers of the own failure domain.
 func (s *Set) Own() []Node { return s.own }
 
+// Domain lists the gatherers of another failure domain of this region.
+func (s *Set) Domain(name string) []Node { return s.domains[name] }
+
 // Region lists the gatherers of another region.
 func (s *Set) Region(name string) []Node { return s.regions[name] }
 
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -90,6 +90,8 @@
 	timeout   time.Duration
 	suspicion time.Duration
 	perSend   int
+	// remoteEvery is how many periods lie between two probes of other domains.
+	remoteEvery int
 
 	members map[string]*entry
 	// byDomain lists the names of each domain's members, and names the
@@ -102,6 +104,7 @@
 	ring     []string
 	domains  map[string]time.Time
 	remote   int
+	periods  int
 	probe    probe
 	relayed  map[uint64]relay
 	seq      uint64
@@ -148,6 +151,10 @@
 // WithSuspicion sets how long a suspect may contradict. The default is 1 s.
 func WithSuspicion(d time.Duration) Option { return func(t *Tracker) { t.suspicion = d } }
 
+// WithRemoteEvery sets in how many periods one member of another domain is
+// probed. The default is every period; bytes between domains may have a price.
+func WithRemoteEvery(periods int) Option { return func(t *Tracker) { t.remoteEvery = periods } }
+
 // New returns a Tracker that knows only itself.
 func New(self Record, random *rand.Rand, opts ...Option) *Tracker {
 	t := &Tracker{
@@ -157,12 +164,14 @@
 		timeout:   defaultTimeout,
 		suspicion: defaultSuspicion,
 		perSend:   defaultPerSend,
-		members:   make(map[string]*entry),
-		byDomain:  make(map[string][]string),
-		suspects:  make(map[string]bool),
-		dead:      make(map[string]bool),
-		domains:   make(map[string]time.Time),
-		relayed:   make(map[uint64]relay),
+
+		remoteEvery: 1,
+		members:     make(map[string]*entry),
+		byDomain:    make(map[string][]string),
+		suspects:    make(map[string]bool),
+		dead:        make(map[string]bool),
+		domains:     make(map[string]time.Time),
+		relayed:     make(map[uint64]relay),
 	}
 	for _, opt := range opts {
 		opt(t)
--- a/pkg/member/probe.go
+++ b/pkg/member/probe.go
@@ -18,7 +18,9 @@
 	}
 	t.next = now.Add(t.period - t.period/10 + time.Duration(t.random.Int64N(int64(t.period/5))))
 	t.probeOwn(now)
-	t.probeRemote()
+	if t.periods++; t.periods%t.remoteEvery == 0 {
+		t.probeRemote()
+	}
 	t.forget(now)
 }
 
