relay: split the messages (talk) and the connections (link) from the engine

Change: internal/talk holds what callers and upstreams say, internal/link the connections and their pool, internal/relay the engine. No behaviour changes.

--- a/internal/relay/conn.go
+++ b/internal/link/conn.go
@@ -1,4 +1,12 @@
-package relay
+// Package link holds the connections to upstreams. A connection carries one
+// request at a time, sends nothing a second time, and is closed on any doubt about
+// what it brings.
+//
+//	p := link.NewPool(addr, link.Dial)
+//	c, err := p.Connect(ctx)
+//	res, wrote, err := c.Exchange(request, message, dialect)
+//	p.Release(c)
+package link
 
 import (
 	"bufio"
@@ -15,6 +23,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"geraniumstep.org/geraniumstep/internal/talk"
 )
 
 const (
@@ -41,15 +51,17 @@
 	errTooLarge = errors.New("answer is larger than the tier holds")
 )
 
-// conn is one connection to an upstream, with one request at a time.
-type conn struct {
+// Conn is one connection to an upstream, with one request at a time.
+type Conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// usable is until when the idle connection may be used again.
+	// usable is until when the idle connection may be used again, and reuse
+	// whether the last exchange left it in order.
 	usable time.Time
+	reuse  bool
 }
 
-// Dial opens connections to upstreams. It is the default of WithDial.
+// Dial opens a connection that notices a silent far side.
 func Dial(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout: dialTimeout,
@@ -69,7 +81,7 @@
 
 // quiet tells whether an idle connection is open with nothing to read: bytes
 // that nobody asked for belong to no request.
-func (c *conn) quiet() bool {
+func (c *Conn) quiet() bool {
 	if c.reader.Buffered() > 0 || time.Now().After(c.usable) {
 		return false
 	}
@@ -91,43 +103,56 @@
 	return err == nil && open
 }
 
-// response is an upstream's answer, read to its end.
-type response struct {
+// Response is an upstream's answer, read to its end.
+type Response struct {
 	status int
 	header http.Header
 	body   []byte
-	reply  Reply
+	reply  talk.Reply
 }
 
-// exchange sends the request and reads the answer. Wrote tells whether bytes may
-// have left; reuse whether the connection may carry another request.
-func (c *conn) exchange(req *Request, message []byte, d Dialect) (res *response, wrote, reuse bool, err error) {
+// Status is the status code.
+func (r *Response) Status() int { return r.status }
+
+// Header gives the headers. It must not be changed.
+func (r *Response) Header() http.Header { return r.header }
+
+// Body gives the whole body.
+func (r *Response) Body() []byte { return r.body }
+
+// Reply is what the headers say.
+func (r *Response) Reply() talk.Reply { return r.reply }
+
+// Exchange sends the message of a request and reads the answer. Wrote tells whether
+// bytes may have left.
+func (c *Conn) Exchange(req *talk.Request, message []byte, d talk.Dialect) (res *Response, wrote bool, err error) {
+	c.reuse = false
 	n, err := c.Write(message)
 	if err != nil {
-		return nil, n > 0, false, fmt.Errorf("send: %w", err)
+		return nil, n > 0, fmt.Errorf("send: %w", err)
 	}
 	r, err := c.readHead(req.Method)
 	if err != nil {
-		return nil, true, false, fmt.Errorf("read answer: %w", err)
+		return nil, true, fmt.Errorf("read answer: %w", err)
 	}
 	reply := d.ReadReply(r.StatusCode, r.Header)
 	if reply.RequestID != "" && reply.RequestID != req.ID {
-		return nil, true, false, errCrossed
+		return nil, true, errCrossed
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxAnswerBytes+1))
 	if err != nil {
-		return nil, true, false, fmt.Errorf("read body: %w", err)
+		return nil, true, fmt.Errorf("read body: %w", err)
 	}
 	if len(body) > maxAnswerBytes {
-		return nil, true, false, errTooLarge
+		return nil, true, errTooLarge
 	}
-	reuse = !r.Close && c.reader.Buffered() == 0
+	c.reuse = !r.Close && c.reader.Buffered() == 0
 	c.usable = time.Now().Add(idleTime(r.Header))
-	return &response{status: r.StatusCode, header: r.Header, body: body, reply: reply}, true, reuse, nil
+	return &Response{status: r.StatusCode, header: r.Header, body: body, reply: reply}, true, nil
 }
 
 // readHead reads the head of the final answer, passing over interim ones.
-func (c *conn) readHead(method string) (*http.Response, error) {
+func (c *Conn) readHead(method string) (*http.Response, error) {
 	for {
 		r, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil || r.StatusCode >= http.StatusOK {
@@ -148,9 +173,9 @@
 	return defaultIdle
 }
 
-// encodeStart writes what all upstreams of a request get alike: the request
+// Start writes what all upstreams of a request get alike: the request
 // line and the caller's headers.
-func encodeStart(req *Request, head http.Header) []byte {
+func Start(req *talk.Request, head http.Header) []byte {
 	var b bytes.Buffer
 	b.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
 	if len(req.Body) > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead {
@@ -161,8 +186,8 @@
 	return b.Bytes()
 }
 
-// encode completes a message with the headers of one upstream and the body.
-func encode(start []byte, own http.Header, body []byte) []byte {
+// Message completes a message with the headers of one upstream and the body.
+func Message(start []byte, own http.Header, body []byte) []byte {
 	b := bytes.NewBuffer(make([]byte, 0, len(start)+len(body)+ownHeaderBytes))
 	b.Write(start)
 	_ = own.Write(b)
--- /dev/null
+++ b/internal/link/pool.go
@@ -0,0 +1,98 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+// Dialer opens a connection to an address.
+type Dialer func(ctx context.Context, addr string) (net.Conn, error)
+
+// Pool holds the connections to one upstream. It is safe for concurrent use.
+type Pool struct {
+	addr string
+	dial Dialer
+
+	mu     sync.Mutex
+	idle   []*Conn
+	closed bool
+}
+
+// NewPool returns a pool of connections to the address.
+func NewPool(addr string, dial Dialer) *Pool { return &Pool{addr: addr, dial: dial} }
+
+// Connect takes an idle connection or opens one.
+func (p *Pool) Connect(ctx context.Context) (*Conn, error) {
+	for {
+		c := p.popIdle()
+		if c == nil {
+			break
+		}
+		if c.quiet() {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	raw, err := p.dial(ctx, p.addr)
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{Conn: raw, reuse: true, reader: bufio.NewReaderSize(raw, connBuffer)}, nil
+}
+
+func (p *Pool) popIdle() *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	c := p.idle[len(p.idle)-1]
+	p.idle = p.idle[:len(p.idle)-1]
+	return c
+}
+
+// Release keeps a connection that may be used again and closes any other.
+func (p *Pool) Release(c *Conn) {
+	if c.reuse && p.keep(c) {
+		return
+	}
+	_ = c.Close()
+}
+
+func (p *Pool) keep(c *Conn) bool {
+	if c.SetDeadline(time.Time{}) != nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	p.dropExpired(time.Now())
+	p.idle = append(p.idle, c)
+	return true
+}
+
+// dropExpired closes idle connections that the upstream has closed or will
+// close soon. The oldest come first. The lock is held.
+func (p *Pool) dropExpired(now time.Time) {
+	for len(p.idle) > 0 && now.After(p.idle[0].usable) {
+		_ = p.idle[0].Close()
+		p.idle = p.idle[1:]
+	}
+}
+
+// Close closes the idle connections; those in use are closed after their
+// request.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle, p.closed = nil, true
+	p.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
+}
--- a/internal/relay/do.go
+++ b/internal/relay/do.go
@@ -7,6 +7,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"geraniumstep.org/geraniumstep/internal/link"
+	"geraniumstep.org/geraniumstep/internal/talk"
 	"geraniumstep.org/geraniumstep/pkg/admit"
 	"geraniumstep.org/geraniumstep/pkg/fanout"
 	"geraniumstep.org/geraniumstep/pkg/topk"
@@ -25,16 +27,16 @@
 )
 
 // Do serves one request. The context ends when the caller goes.
-func (e *Engine) Do(ctx context.Context, req *Request) Answer {
+func (e *Engine) Do(ctx context.Context, req *talk.Request) talk.Answer {
 	routes := e.routes.Load()
 	if routes == nil {
-		return Refused{Why: "no configuration yet", RetryAfter: startRetry}
+		return talk.Refused{Why: "no configuration yet", RetryAfter: startRetry}
 	}
 	route, ok := routes.Match(req.Host, req.Path)
 	if !ok {
 		e.log.WithFields(logrus.Fields{"request": req.ID, "host": req.Host, "path": req.Path, "version": routes.Version()}).
 			Info("relay: no route matches.")
-		return NoRoute{}
+		return talk.NoRoute{}
 	}
 	r := e.newRun(req, route, routes.Version())
 	answer := r.admitted(ctx)
@@ -43,7 +45,7 @@
 }
 
 // newRun plans the request.
-func (e *Engine) newRun(req *Request, route *vhost.Route, version uint64) *run {
+func (e *Engine) newRun(req *talk.Request, route *vhost.Route, version uint64) *run {
 	wait := route.Timeout()
 	if req.Remaining > 0 {
 		wait = min(wait, req.Remaining)
@@ -69,18 +71,18 @@
 }
 
 // admitted runs the request unless it cannot be served in time.
-func (r *run) admitted(ctx context.Context) Answer {
+func (r *run) admitted(ctx context.Context) talk.Answer {
 	now := time.Now()
 	if !now.Before(r.plan.Deadline) {
-		return Refused{Why: "deadline has passed"}
+		return talk.Refused{Why: "deadline has passed"}
 	}
 	if reject, ok := r.judge(now).(admit.Reject); ok {
 		r.verdict = "rejected"
-		return Refused{Why: "queues are longer than the target", RetryAfter: reject.RetryAfter}
+		return talk.Refused{Why: "queues are longer than the target", RetryAfter: reject.RetryAfter}
 	}
 	outcome, ended := r.execute(ctx)
 	if !ended {
-		return Abandoned{}
+		return talk.Abandoned{}
 	}
 	return r.answer(outcome)
 }
@@ -97,7 +99,7 @@
 }
 
 // answer turns the end of the fan-out into what the caller gets.
-func (r *run) answer(o fanout.Outcome) Answer {
+func (r *run) answer(o fanout.Outcome) talk.Answer {
 	switch o {
 	case fanout.OutcomeComplete, fanout.OutcomePartial:
 		if r.gather {
@@ -108,14 +110,14 @@
 	}
 	if r.claims.close() {
 		if r.refused > 0 {
-			return Refused{Why: "queues are longer than the target", RetryAfter: r.refused}
+			return talk.Refused{Why: "queues are longer than the target", RetryAfter: r.refused}
 		}
-		return Refused{Why: "no upstream could take the request", RetryAfter: r.retryAfter()}
+		return talk.Refused{Why: "no upstream could take the request", RetryAfter: r.retryAfter()}
 	}
 	if r.failure != nil && !r.gather {
 		return r.relayed(r.failure)
 	}
-	return Unknown{Why: "no upstream answered", Expired: o == fanout.OutcomeExpired}
+	return talk.Unknown{Why: "no upstream answered", Expired: o == fanout.OutcomeExpired}
 }
 
 // retryAfter estimates when the request could be served.
@@ -126,7 +128,7 @@
 	return startRetry
 }
 
-func (r *run) merge() Answer {
+func (r *run) merge() talk.Answer {
 	m := topk.New(r.topK)
 	var proofs []string
 	for _, g := range r.groups {
@@ -137,17 +139,17 @@
 		if p == nil || r.inGroup(i) {
 			continue
 		}
-		m.Add(p.body)
-		proofs = append(proofs, p.reply.Proof)
+		m.Add(p.Body())
+		proofs = append(proofs, p.Reply().Proof)
 	}
-	return Merged{Body: m.Bytes(), Proofs: proofs, Missing: len(r.parts) - len(proofs)}
+	return talk.Merged{Body: m.Bytes(), Proofs: proofs, Missing: len(r.parts) - len(proofs)}
 }
 
 // relayed passes on an upstream's answer without the headers that concern the
 // connection or the tier alone.
-func (r *run) relayed(res *response) Answer {
-	header := make(http.Header, len(res.header))
-	for name, values := range res.header {
+func (r *run) relayed(res *link.Response) talk.Answer {
+	header := make(http.Header, len(res.Header()))
+	for name, values := range res.Header() {
 		if !hopByHop[name] {
 			header[name] = values
 		}
@@ -155,7 +157,7 @@
 	for _, name := range r.engine.dialect.Private() {
 		header.Del(name)
 	}
-	return Relayed{Status: res.status, Header: header, Body: res.body}
+	return talk.Relayed{Status: res.Status(), Header: header, Body: res.Body()}
 }
 
 // hopByHop lists the headers that concern one connection only.
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +10,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"geraniumstep.org/geraniumstep/internal/link"
+	"geraniumstep.org/geraniumstep/internal/talk"
 	"geraniumstep.org/geraniumstep/pkg/extra"
 	"geraniumstep.org/geraniumstep/pkg/fleet"
 	"geraniumstep.org/geraniumstep/pkg/gate"
@@ -21,9 +22,9 @@
 
 // Engine serves relayed requests. It is safe for concurrent use.
 type Engine struct {
-	dialect Dialect
+	dialect talk.Dialect
 	log     *logrus.Entry
-	dial    func(ctx context.Context, addr string) (net.Conn, error)
+	dial    link.Dialer
 	domain  string
 	regions map[string]string
 	nodes   atomic.Int64
@@ -67,8 +68,8 @@
 // WithLog sets the log. The default is logrus's standard logger.
 func WithLog(log *logrus.Entry) Option { return func(e *Engine) { e.log = log } }
 
-// WithDial sets how connections to upstreams are opened. The default is Dial.
-func WithDial(dial func(ctx context.Context, addr string) (net.Conn, error)) Option {
+// WithDial sets how connections to upstreams are opened. The default is link.Dial.
+func WithDial(dial link.Dialer) Option {
 	return func(e *Engine) { e.dial = dial }
 }
 
@@ -90,9 +91,9 @@
 }
 
 // New returns an Engine that knows no routes yet.
-func New(d Dialect, opts ...Option) *Engine {
+func New(d talk.Dialect, opts ...Option) *Engine {
 	e := &Engine{
-		dialect: d, log: logrus.NewEntry(logrus.StandardLogger()), dial: Dial,
+		dialect: d, log: logrus.NewEntry(logrus.StandardLogger()), dial: link.Dial,
 		budget: extra.New(), shards: extra.New(), wheel: split.New(), metrics: newMetrics(),
 	}
 	e.nodes.Store(1)
@@ -111,7 +112,7 @@
 	e.stop()
 	e.tasks.Wait()
 	for _, u := range e.upstreams.Load().byID {
-		u.close()
+		u.pool.Close()
 	}
 }
 
@@ -184,7 +185,7 @@
 	e.upstreams.Store(next)
 	for id, u := range old.byID {
 		if next.byID[id] != u {
-			u.close()
+			u.pool.Close()
 		}
 	}
 }
@@ -223,7 +224,7 @@
 		entry: entry,
 		stats: place.NewStats(e.distance(entry.Domain()), entry.Slots(), entry.ColdTill()),
 		gate:  gate.NewShared(gate.WithSlots(slots), gate.WithQueue(gateQueue)),
-		dial:  e.dial,
+		pool:  link.NewPool(entry.Addr(), e.dial),
 	}
 	u.slots.Store(int64(slots))
 	return u
--- a/internal/relay/gatherer.go
+++ b/internal/relay/gatherer.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"geraniumstep.org/geraniumstep/internal/talk"
 	"geraniumstep.org/geraniumstep/pkg/admit"
 	"geraniumstep.org/geraniumstep/pkg/fanout"
 	"geraniumstep.org/geraniumstep/pkg/topk"
@@ -30,11 +31,11 @@
 	if reject, ok := r.judge(time.Now()).(admit.Reject); ok {
 		reply.NotRun, reply.RetryAfter = true, reject.RetryAfter
 		r.verdict = "rejected"
-		r.log(Refused{})
+		r.log(talk.Refused{})
 		return nil
 	}
 	if _, ended := r.execute(ctx); !ended {
-		r.log(Abandoned{})
+		r.log(talk.Abandoned{})
 		return nil
 	}
 	r.reply(reply)
@@ -52,7 +53,7 @@
 // gatherRun plans a part of a search for another node.
 func (e *Engine) gatherRun(call *GatherCall) *run {
 	now := time.Now()
-	req := &Request{
+	req := &talk.Request{
 		ID: call.Request, Method: call.Method, Host: call.Host, Target: call.Target,
 		Header: http.Header(call.Header), Body: call.Body, Arrived: now, Remaining: call.Deadline,
 	}
@@ -84,15 +85,15 @@
 		if p == nil || r.inGroup(i) {
 			continue
 		}
-		m.Add(p.body)
-		reply.Proofs = append(reply.Proofs, p.reply.Proof)
+		m.Add(p.Body())
+		reply.Proofs = append(reply.Proofs, p.Reply().Proof)
 		reply.Legs = append(reply.Legs, i)
 	}
 	reply.Body = m.Bytes()
 	reply.NotRun = r.claims.close() && len(reply.Legs) == 0
-	var answer Answer = Merged{Missing: len(r.plan.Services) - len(reply.Legs)}
+	var answer talk.Answer = talk.Merged{Missing: len(r.plan.Services) - len(reply.Legs)}
 	if reply.NotRun {
-		answer = Refused{}
+		answer = talk.Refused{}
 	}
 	r.log(answer)
 }
--- a/internal/relay/handoff_test.go
+++ b/internal/relay/handoff_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"geraniumstep.org/geraniumstep/internal/inner"
+	"geraniumstep.org/geraniumstep/internal/talk"
 	"geraniumstep.org/geraniumstep/pkg/fleet"
 	"geraniumstep.org/geraniumstep/pkg/gather"
 	"geraniumstep.org/geraniumstep/pkg/vhost"
@@ -72,7 +73,7 @@
 
 func TestFarShardsAreGatheredThere(t *testing.T) {
 	p := newPair(t, 1)
-	got, ok := p.near.Do(context.Background(), request("search", "r-1")).(Merged)
+	got, ok := p.near.Do(context.Background(), request("search", "r-1")).(talk.Merged)
 	if !ok || got.Missing != 0 || p.calls != 1 {
 		t.Fatalf("Do() = %+v after %d calls, want all parts after one", got, p.calls)
 	}
@@ -94,7 +95,7 @@
 func TestPeerThatCannotBeReachedIsReplaced(t *testing.T) {
 	p := newPair(t, 1)
 	p.fail = inner.ErrUnsent
-	got, ok := p.near.Do(context.Background(), request("search", "r-1")).(Merged)
+	got, ok := p.near.Do(context.Background(), request("search", "r-1")).(talk.Merged)
 	if !ok || got.Missing != 0 {
 		t.Errorf("Do() = %+v, want all parts, reached directly", got)
 	}
@@ -103,7 +104,7 @@
 func TestPeerThatBreaksCostsItsLegsOnly(t *testing.T) {
 	p := newPair(t, 0.4)
 	p.fail = errors.New("connection broke")
-	got, ok := p.near.Do(context.Background(), request("search", "r-1")).(Merged)
+	got, ok := p.near.Do(context.Background(), request("search", "r-1")).(talk.Merged)
 	if !ok || got.Missing != 4 {
 		t.Errorf("Do() = %+v, want the 3 near parts", got)
 	}
@@ -120,7 +121,7 @@
 	p := newPair(t, 0.8)
 	p.farUps[1].behave(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 	begun := time.Now()
-	got, ok := p.near.Do(context.Background(), request("search", "r-1")).(Merged)
+	got, ok := p.near.Do(context.Background(), request("search", "r-1")).(talk.Merged)
 	if !ok || got.Missing != 1 {
 		t.Errorf("Do() = %+v, want 6 parts", got)
 	}
@@ -142,7 +143,7 @@
 		<-begun
 		cancel()
 	}()
-	if answer := p.near.Do(ctx, request("search", "r-1")); answerName(answer) != "abandoned" {
+	if answer := p.near.Do(ctx, request("search", "r-1")); talk.Name(answer) != "abandoned" {
 		t.Errorf("Do() = %+v, want Abandoned", answer)
 	}
 	select {
--- a/internal/relay/http.go
+++ b/internal/relay/http.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"geraniumstep.org/geraniumstep/internal/talk"
 )
 
 const (
@@ -48,7 +50,7 @@
 }
 
 // read takes the whole request, so that it can be sent again.
-func (h *Handler) read(w http.ResponseWriter, r *http.Request) (*Request, *Invalid) {
+func (h *Handler) read(w http.ResponseWriter, r *http.Request) (*talk.Request, *talk.Invalid) {
 	limit := int64(defaultBodyBytes)
 	if s := h.engine.Routes(); s != nil && s.Limits().BodyBytes() > 0 {
 		limit = s.Limits().BodyBytes()
@@ -59,50 +61,50 @@
 	}
 	id, remaining := h.engine.dialect.ReadCaller(r.Header)
 	if id == "" {
-		return nil, &Invalid{Status: http.StatusBadRequest, Why: "request has no id; send one with each attempt"}
+		return nil, &talk.Invalid{Status: http.StatusBadRequest, Why: "request has no id; send one with each attempt"}
 	}
-	return &Request{
+	return &talk.Request{
 		ID: id, Remaining: remaining, Method: r.Method, Host: r.Host, Target: r.RequestURI, Path: r.URL.EscapedPath(),
 		Header: r.Header, Body: body, Arrived: time.Now(),
 	}, nil
 }
 
-func (h *Handler) bodyError(err error) *Invalid {
+func (h *Handler) bodyError(err error) *talk.Invalid {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return &Invalid{Status: http.StatusRequestEntityTooLarge, Why: "body is larger than " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"}
+		return &talk.Invalid{Status: http.StatusRequestEntityTooLarge, Why: "body is larger than " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"}
 	}
-	return &Invalid{Status: http.StatusBadRequest, Why: "body ended early"}
+	return &talk.Invalid{Status: http.StatusBadRequest, Why: "body ended early"}
 }
 
 // write sends the answer.
-func (h *Handler) write(w http.ResponseWriter, a Answer) {
+func (h *Handler) write(w http.ResponseWriter, a talk.Answer) {
 	switch a := a.(type) {
-	case Relayed:
+	case talk.Relayed:
 		h.writeRelayed(w, a)
-	case Merged:
+	case talk.Merged:
 		h.engine.dialect.WriteMerged(w.Header(), a.Proofs, a.Missing)
 		w.Header().Set("Content-Type", "application/octet-stream")
 		h.writeBody(w, http.StatusOK, a.Body)
-	case Refused:
+	case talk.Refused:
 		w.Header().Set("Retry-After", h.retryAfter(a.RetryAfter))
 		h.writeText(w, http.StatusServiceUnavailable, a.Why)
-	case Unknown:
+	case talk.Unknown:
 		status := http.StatusBadGateway
 		if a.Expired {
 			status = http.StatusGatewayTimeout
 		}
 		h.writeText(w, status, a.Why)
-	case NoRoute:
+	case talk.NoRoute:
 		h.writeText(w, http.StatusNotFound, "no route matches")
-	case Invalid:
+	case talk.Invalid:
 		h.writeText(w, a.Status, a.Why)
-	case Abandoned:
+	case talk.Abandoned:
 		panic(http.ErrAbortHandler)
 	}
 }
 
-func (h *Handler) writeRelayed(w http.ResponseWriter, a Relayed) {
+func (h *Handler) writeRelayed(w http.ResponseWriter, a talk.Relayed) {
 	header := w.Header()
 	for name, values := range a.Header {
 		header[name] = values
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -9,6 +9,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"geraniumstep.org/geraniumstep/internal/link"
+	"geraniumstep.org/geraniumstep/internal/talk"
 	"geraniumstep.org/geraniumstep/pkg/extra"
 	"geraniumstep.org/geraniumstep/pkg/fanout"
 	"geraniumstep.org/geraniumstep/pkg/gate"
@@ -30,7 +32,7 @@
 // run is one request on its way.
 type run struct {
 	engine    *Engine
-	req       *Request
+	req       *talk.Request
 	route     *vhost.Route
 	version   uint64
 	directory *directory
@@ -44,8 +46,8 @@
 	over     chan struct{}
 	groups   []*group
 	attempts map[int]*attempt
-	parts    []*response
-	failure  *response
+	parts    []*link.Response
+	failure  *link.Response
 	claims   claims
 	// start is what all upstreams get alike, encoded once.
 	start     []byte
@@ -71,7 +73,7 @@
 	canceled bool
 	// withdraw ends the wait for a slot, and conn carries the exchange.
 	withdraw context.CancelFunc
-	conn     *conn
+	conn     *link.Conn
 }
 
 // cancel ends the attempt at once.
@@ -95,7 +97,7 @@
 }
 
 // use puts the exchange on a connection, unless the attempt has ended.
-func (a *attempt) use(c *conn) bool {
+func (a *attempt) use(c *link.Conn) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.conn = c
@@ -118,7 +120,7 @@
 // done tells how an attempt ended.
 type done struct {
 	attempt *attempt
-	res     *response
+	res     *link.Response
 	ok      bool
 	notRun  bool
 	unsent  bool
@@ -131,7 +133,7 @@
 // execute feeds the machine until it finishes. It reports false when the caller
 // went first.
 func (r *run) execute(ctx context.Context) (fanout.Outcome, bool) {
-	r.parts = make([]*response, len(r.plan.Services))
+	r.parts = make([]*link.Response, len(r.plan.Services))
 	r.attempts = make(map[int]*attempt)
 	r.events = make(chan event, len(r.plan.Services))
 	r.over = make(chan struct{})
@@ -186,7 +188,7 @@
 		return fanout.Answered{Attempt: d.attempt.number}
 	}
 	r.cause = d.cause
-	if d.res != nil && d.res.reply.Proof != "" && d.res.status >= http.StatusInternalServerError && !promise(d.res.status) {
+	if d.res != nil && d.res.Reply().Proof != "" && d.res.Status() >= http.StatusInternalServerError && !promise(d.res.Status()) {
 		r.failure = d.res
 	}
 	return fanout.Failed{Attempt: d.attempt.number, NotRun: d.notRun, Unsent: d.unsent}
@@ -287,18 +289,22 @@
 // exchange uses a connection for one request.
 func (r *run) exchange(a *attempt) (done, gate.Outcome) {
 	u := a.upstream
-	c, err := u.connect(r.engine.work)
+	c, err := u.pool.Connect(r.engine.work)
 	if err != nil {
 		u.stats.Failed()
 		return done{attempt: a, notRun: true, unsent: true, cause: "dial", err: err}, gate.OutcomeCanceled
 	}
 	if !a.use(c) || !r.claims.take() {
-		u.release(c, true)
+		u.pool.Release(c)
 		return done{attempt: a, notRun: true, unsent: true, cause: "finished"}, gate.OutcomeCanceled
 	}
 	begun := time.Now()
-	res, wrote, reuse, err := c.exchange(r.req, r.message(u, begun), r.engine.dialect)
-	u.release(c, a.use(nil) && reuse)
+	res, wrote, err := c.Exchange(r.req, r.message(u, begun), r.engine.dialect)
+	if a.use(nil) {
+		u.pool.Release(c)
+	} else {
+		_ = c.Close()
+	}
 	if !wrote {
 		r.claims.giveBack()
 		u.stats.Failed()
@@ -308,7 +314,7 @@
 }
 
 // judgeReply decides what an exchange proves, and records it as evidence.
-func (r *run) judgeReply(a *attempt, res *response, err error, took time.Duration) (done, gate.Outcome) {
+func (r *run) judgeReply(a *attempt, res *link.Response, err error, took time.Duration) (done, gate.Outcome) {
 	stats := a.upstream.stats
 	if err != nil {
 		if a.isCanceled() {
@@ -318,15 +324,15 @@
 		stats.Failed()
 		return done{attempt: a, cause: "broken", err: err}, gate.OutcomeCanceled
 	}
-	if res.reply.HasLoad {
-		stats.Loaded(res.reply.Running, res.reply.Waiting)
+	if res.Reply().HasLoad {
+		stats.Loaded(res.Reply().Running, res.Reply().Waiting)
 	}
 	switch {
-	case res.reply.Moved:
+	case res.Reply().Moved:
 		stats.Gone()
 		r.claims.giveBack()
 		return done{attempt: a, res: res, notRun: true, cause: "moved"}, gate.OutcomeCanceled
-	case res.reply.NotRun:
+	case res.Reply().NotRun:
 		stats.Failed()
 		r.claims.giveBack()
 		return done{attempt: a, res: res, notRun: true, cause: "shed"}, gate.OutcomeShed
@@ -341,11 +347,11 @@
 
 // good tells whether the answer is final: a success with its proof, or, for a
 // request to one service, any answer that trying elsewhere would not change.
-func (r *run) good(res *response) bool {
-	if res.status >= 200 && res.status < 300 {
-		return res.reply.Proof != "" && res.header.Get("Content-Encoding") == ""
+func (r *run) good(res *link.Response) bool {
+	if res.Status() >= 200 && res.Status() < 300 {
+		return res.Reply().Proof != "" && res.Header().Get("Content-Encoding") == ""
 	}
-	return !r.gather && res.status < 500 && !promise(res.status)
+	return !r.gather && res.Status() < 500 && !promise(res.Status())
 }
 
 // promise tells whether the status promises that the request did not run.
@@ -359,10 +365,10 @@
 
 // message encodes the request for the upstream.
 func (r *run) message(u *upstream, now time.Time) []byte {
-	r.startOnce.Do(func() { r.start = encodeStart(r.req, r.endToEnd()) })
+	r.startOnce.Do(func() { r.start = link.Start(r.req, r.endToEnd()) })
 	own := make(http.Header, 2)
-	r.engine.dialect.WriteCall(own, Call{Upstream: u.entry.ID(), Remaining: r.plan.Deadline.Sub(now)})
-	return encode(r.start, own, r.req.Body)
+	r.engine.dialect.WriteCall(own, talk.Call{Upstream: u.entry.ID(), Remaining: r.plan.Deadline.Sub(now)})
+	return link.Message(r.start, own, r.req.Body)
 }
 
 // endToEnd leaves out the headers that concern one connection, and those that
@@ -378,7 +384,7 @@
 		h.Del(strings.TrimSpace(name))
 	}
 	own := make(http.Header)
-	r.engine.dialect.WriteCall(own, Call{})
+	r.engine.dialect.WriteCall(own, talk.Call{})
 	for name := range own {
 		h.Del(name)
 	}
@@ -403,9 +409,9 @@
 }
 
 // log writes the decision on the request.
-func (r *run) log(a Answer) {
+func (r *run) log(a talk.Answer) {
 	took := time.Since(r.req.Arrived)
-	kind := answerName(a)
+	kind := talk.Name(a)
 	priority := r.route.Priority().String()
 	r.engine.metrics.requests.WithLabelValues(priority, kind).Inc()
 	r.engine.metrics.latency.WithLabelValues(priority).Observe(took.Seconds())
@@ -423,24 +429,6 @@
 	r.engine.log.WithFields(fields).Info("relay: request ended.")
 }
 
-func answerName(a Answer) string {
-	switch a.(type) {
-	case Relayed:
-		return "relayed"
-	case Merged:
-		return "merged"
-	case Refused:
-		return "refused"
-	case Unknown:
-		return "unknown"
-	case NoRoute:
-		return "no_route"
-	case Invalid:
-		return "invalid"
-	}
-	return "abandoned"
-}
-
 // Pick implements fanout.Deps.
 func (r *run) Pick(service string, tried []fanout.Upstream) (fanout.Upstream, bool) {
 	if g, ok := r.grouped[service]; ok && len(tried) == 0 {
--- a/internal/relay/single_test.go
+++ b/internal/relay/single_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"geraniumstep.org/geraniumstep/internal/link"
+	"geraniumstep.org/geraniumstep/internal/talk"
 	"geraniumstep.org/geraniumstep/pkg/fleet"
 	"geraniumstep.org/geraniumstep/pkg/vhost"
 )
@@ -26,7 +28,7 @@
 	req := request("single", "r-1")
 	req.Method, req.Body = http.MethodPost, []byte("body of the request")
 	req.Header = http.Header{"Id": {"r-1"}, "X-Other": {"kept"}, "Connection": {"X-Hop"}, "X-Hop": {"dropped"}}
-	got, ok := e.Do(context.Background(), req).(Relayed)
+	got, ok := e.Do(context.Background(), req).(talk.Relayed)
 	if !ok || got.Status != http.StatusOK || got.Header.Get("Proof") != "up-1.r-1" {
 		t.Fatalf("Do() = %+v, want 200 with the upstream's proof", got)
 	}
@@ -64,7 +66,7 @@
 			b.behave(tt.behave)
 			e := newEngine(t, []*vhost.Route{singleRoute("svc", false)}, a.entry("svc"), b.entry("svc"))
 			answer := e.Do(context.Background(), request("single", "r-1"))
-			if got := answerName(answer); got != tt.want {
+			if got := talk.Name(answer); got != tt.want {
 				t.Errorf("answer = %s %+v, want %s", got, answer, tt.want)
 			}
 			if got := a.runs.Load() + b.runs.Load(); got != tt.wantRuns {
@@ -90,7 +92,7 @@
 	a.behave(fail)
 	b.behave(fail)
 	e := newEngine(t, []*vhost.Route{singleRoute("svc", true)}, a.entry("svc"), b.entry("svc"))
-	got, ok := e.Do(context.Background(), request("single", "r-1")).(Relayed)
+	got, ok := e.Do(context.Background(), request("single", "r-1")).(talk.Relayed)
 	if !ok || string(got.Body) != "second" {
 		t.Errorf("Do() = %+v, want the second upstream's answer", got)
 	}
@@ -105,7 +107,7 @@
 	e := newEngine(t, []*vhost.Route{singleRoute("svc", false)}, dead, live.entry("svc"))
 	for i := range 8 {
 		answer := e.Do(context.Background(), request("single", "r"))
-		if _, ok := answer.(Relayed); !ok {
+		if _, ok := answer.(talk.Relayed); !ok {
 			t.Fatalf("request %d: Do() = %+v, want the live upstream's answer", i, answer)
 		}
 	}
@@ -127,7 +129,7 @@
 			addr, _ := rawStandin(t, raw)
 			e := newEngine(t, []*vhost.Route{singleRoute("svc", false)}, fleet.NewEntry("up", "svc", addr))
 			answer := e.Do(context.Background(), request("single", "r-1"))
-			if _, ok := answer.(Unknown); !ok {
+			if _, ok := answer.(talk.Unknown); !ok {
 				t.Errorf("Do() = %+v, want Unknown", answer)
 			}
 		})
@@ -139,7 +141,7 @@
 	addr, requests := rawStandin(t, answer+answer)
 	e := newEngine(t, []*vhost.Route{singleRoute("svc", false)}, fleet.NewEntry("up", "svc", addr))
 	for i := range 2 {
-		if got, ok := e.Do(context.Background(), request("single", "r-1")).(Relayed); !ok || string(got.Body) != "ok" {
+		if got, ok := e.Do(context.Background(), request("single", "r-1")).(talk.Relayed); !ok || string(got.Body) != "ok" {
 			t.Fatalf("request %d: Do() = %+v, want ok", i, got)
 		}
 	}
@@ -153,7 +155,7 @@
 	moved.behave(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) })
 	e := newEngine(t, []*vhost.Route{singleRoute("svc", false)}, moved.entry("svc"), good.entry("svc"))
 	for range 10 {
-		if answer := e.Do(context.Background(), request("single", "r")); answerName(answer) != "relayed" {
+		if answer := e.Do(context.Background(), request("single", "r")); talk.Name(answer) != "relayed" {
 			t.Fatalf("Do() = %+v, want the good upstream's answer", answer)
 		}
 	}
@@ -176,7 +178,7 @@
 		<-begun
 		cancel()
 	}()
-	if answer := e.Do(ctx, request("single", "r")); answerName(answer) != "abandoned" {
+	if answer := e.Do(ctx, request("single", "r")); talk.Name(answer) != "abandoned" {
 		t.Errorf("Do() = %+v, want Abandoned", answer)
 	}
 	select {
@@ -189,11 +191,11 @@
 func TestNoConfigurationAndNoRoute(t *testing.T) {
 	e := New(testDialect{})
 	t.Cleanup(e.Close)
-	if _, ok := e.Do(context.Background(), request("single", "r")).(Refused); !ok {
+	if _, ok := e.Do(context.Background(), request("single", "r")).(talk.Refused); !ok {
 		t.Error("Do() without a configuration is not Refused")
 	}
 	e.SetRoutes(vhost.New(3, []*vhost.Route{singleRoute("svc", true)}))
-	if _, ok := e.Do(context.Background(), request("other", "r")).(NoRoute); !ok {
+	if _, ok := e.Do(context.Background(), request("other", "r")).(talk.NoRoute); !ok {
 		t.Error("Do() for an unknown host is not NoRoute")
 	}
 	if e.SetRoutes(vhost.New(2, nil)) {
@@ -204,7 +206,7 @@
 func TestServiceWithoutUpstreamsIsRefusedAtOnce(t *testing.T) {
 	e := newEngine(t, []*vhost.Route{singleRoute("svc", false)})
 	begun := time.Now()
-	got, ok := e.Do(context.Background(), request("single", "r")).(Refused)
+	got, ok := e.Do(context.Background(), request("single", "r")).(talk.Refused)
 	if !ok || got.RetryAfter <= 0 {
 		t.Errorf("Do() = %+v, want Refused with a time to come back", got)
 	}
@@ -216,7 +218,7 @@
 func TestEncodeKeepsBodyAndLength(t *testing.T) {
 	req := request("single", "r")
 	req.Method, req.Body = http.MethodPost, bytes.Repeat([]byte("x"), 300)
-	sent := string(encode(encodeStart(req, nil), http.Header{"A": {"b"}}, req.Body))
+	sent := string(link.Message(link.Start(req, nil), http.Header{"A": {"b"}}, req.Body))
 	want := "POST /a/b?c=d HTTP/1.1\r\nHost: single\r\nContent-Length: 300\r\nA: b\r\n\r\n" + string(req.Body)
 	if sent != want {
 		t.Errorf("encode() = %q, want %q", sent, want)
--- a/internal/relay/types.go
+++ b/internal/talk/talk.go
@@ -1,15 +1,7 @@
-// Package relay serves requests that are passed on to upstreams unchanged: to
-// one upstream of a service, to weighted services, or to one upstream of each
-// shard, whose records are merged. It joins the decisions of pkg/fanout,
-// pkg/place, pkg/admit, pkg/extra and pkg/gate with connections to upstreams.
-//
-// What callers and upstreams call the headers is a Dialect's matter:
-//
-//	e := relay.New(dialect, relay.WithLog(log))
-//	e.SetRoutes(snapshot)
-//	e.SetUpstreams(entries)
-//	http.Serve(listener, e.Handler())
-package relay
+// Package talk holds the messages of a relayed request: what a caller asks, what
+// it gets, and what an upstream is told and says. How these are written as headers
+// is a Dialect's matter.
+package talk
 
 import (
 	"net/http"
@@ -121,3 +113,22 @@
 	// Private lists the headers of an upstream that are not for callers.
 	Private() []string
 }
+
+// Name is the kind of an answer, for logs and metrics.
+func Name(a Answer) string {
+	switch a.(type) {
+	case Relayed:
+		return "relayed"
+	case Merged:
+		return "merged"
+	case Refused:
+		return "refused"
+	case Unknown:
+		return "unknown"
+	case NoRoute:
+		return "no_route"
+	case Invalid:
+		return "invalid"
+	}
+	return "abandoned"
+}
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -23,9 +23,11 @@
 	"github.com/sirupsen/logrus"
 
 	"geraniumstep.org/geraniumstep/internal/follow"
+	"geraniumstep.org/geraniumstep/internal/link"
 	"geraniumstep.org/geraniumstep/internal/mesh"
 	"geraniumstep.org/geraniumstep/internal/relay"
 	"geraniumstep.org/geraniumstep/internal/setup"
+	"geraniumstep.org/geraniumstep/internal/talk"
 	"geraniumstep.org/geraniumstep/pkg/extra"
 	"geraniumstep.org/geraniumstep/pkg/gather"
 	"geraniumstep.org/geraniumstep/pkg/life"
@@ -71,7 +73,7 @@
 func WithLog(log *logrus.Entry) Option { return func(t *Tier) { t.log = log } }
 
 // New opens the addresses. The process does nothing until Run.
-func New(set setup.Relay, d relay.Dialect, source follow.Source, opts ...Option) (*Tier, error) {
+func New(set setup.Relay, d talk.Dialect, source follow.Source, opts ...Option) (*Tier, error) {
 	t := &Tier{set: set, source: source, log: logrus.NewEntry(logrus.StandardLogger()), registry: prometheus.NewRegistry(), drained: make(chan struct{})}
 	for _, opt := range opts {
 		opt(t)
@@ -108,7 +110,7 @@
 		Caller: t.set.Listen.Caller, Started: time.Now().UnixMilli(), Capacity: t.set.Capacity,
 	}
 	t.self = self
-	t.mesh = mesh.New(self, l, packets, t.state, relay.Dial,
+	t.mesh = mesh.New(self, l, packets, t.state, link.Dial,
 		mesh.WithSeeds(t.set.Peers), mesh.WithLog(t.log), mesh.WithChanged(t.membersChanged),
 		mesh.WithService(relay.GatherService, t.engine.Gatherer()))
 	t.state.publish, t.state.age = t.mesh.Publish, t.mesh.BestStoreAge
