mesh: start faster where callers wait

Change: the platform's word for a first start sets a wait of 1.2 s; any other start waits 0.25 s and asks a node of its domain as soon as it has met one.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -29,9 +29,12 @@
 	probePeriod  = 800 * time.Millisecond
 	probeTimeout = 400 * time.Millisecond
 	suspicion    = 2 * time.Second
-	// startWait is how long a node that has just started waits for the seeds
-	// to tell what they know, before it reads the store itself.
-	startWait = 400 * time.Millisecond
+	// startWait is how long a node that has just started waits for the others
+	// to tell what they know, before it reads the store itself: two round trips
+	// to another region and a start of theirs. When the whole tier starts for the
+	// first time there are no callers yet, and all wait for the seeds.
+	startWait      = 250 * time.Millisecond
+	firstStartWait = 1200 * time.Millisecond
 	// remoteEvery spares bytes between domains: membership of other domains
 	// may lag by some seconds, calls to their nodes show more.
 	remoteEvery = 4
@@ -69,11 +72,13 @@
 	listener net.Listener
 	packets  net.PacketConn
 	seeds    []string
-	state    State
-	log      *logrus.Entry
-	peers    *inner.Peers
-	server   *rpc.Server
-	changed  func(records []member.Record)
+	// startWait is how long a node that is no seed waits before it reads.
+	startWait time.Duration
+	state     State
+	log       *logrus.Entry
+	peers     *inner.Peers
+	server    *rpc.Server
+	changed   func(records []member.Record)
 
 	mu      sync.Mutex
 	tracker *member.Tracker
@@ -102,6 +107,15 @@
 // WithSeeds sets addresses of other nodes to begin with. The default is none.
 func WithSeeds(addresses []string) Option { return func(m *Mesh) { m.seeds = addresses } }
 
+// WithFirstStart tells that all nodes start for the first time. The default is no.
+func WithFirstStart(yes bool) Option {
+	return func(m *Mesh) {
+		if yes {
+			m.startWait = firstStartWait
+		}
+	}
+}
+
 // WithLog sets the log. The default is logrus's standard logger.
 func WithLog(log *logrus.Entry) Option { return func(m *Mesh) { m.log = log } }
 
@@ -122,7 +136,7 @@
 	m := &Mesh{
 		self: self, listener: l, packets: packets, state: state,
 		log: logrus.NewEntry(logrus.StandardLogger()), peers: inner.NewPeers(dial), server: rpc.NewServer(),
-		changed: func([]member.Record) {}, beats: make(map[string]heardBeat), conns: make(map[net.Conn]bool),
+		startWait: startWait, changed: func([]member.Record) {}, beats: make(map[string]heardBeat), conns: make(map[net.Conn]bool),
 	}
 	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	m.tracker = member.New(self, source,
@@ -135,7 +149,7 @@
 	}
 	m.heardReader = time.Now()
 	if !m.isSeed() {
-		m.heardReader = m.heardReader.Add(startWait)
+		m.heardReader = m.heardReader.Add(m.startWait)
 	}
 	return m
 }
@@ -451,6 +465,19 @@
 		return
 	}
 	m.step(member.Merged{Records: reply.Records})
+	m.pullFirst()
+}
+
+// pullFirst asks another node of the domain for all that it knows, once this node
+// has met the others and knows nothing yet.
+func (m *Mesh) pullFirst() {
+	near := m.domain()
+	if m.state.Revisions() != (Revisions{}) || len(near) == 0 {
+		return
+	}
+	r := near[rand.IntN(len(near))]
+	m.pull(r.Addr, follow.Routes)
+	m.pull(r.Addr, follow.Upstreams)
 }
 
 func (m *Mesh) records() []member.Record {
--- a/internal/setup/relay.go
+++ b/internal/setup/relay.go
@@ -21,8 +21,10 @@
 	ReadyPath string   `yaml:"ready_path" validate:"required,startswith=/"`
 	Platform  Platform `yaml:"platform" validate:"required"`
 	// Peers are addresses of other nodes to begin with, possibly stale.
-	Peers  []string    `yaml:"peers" validate:"dive,hostname_port"`
-	Budget RelayBudget `yaml:"budget"`
+	Peers []string `yaml:"peers" validate:"dive,hostname_port"`
+	// FirstStart tells that all nodes start for the first time, without callers.
+	FirstStart bool        `yaml:"first_start"`
+	Budget     RelayBudget `yaml:"budget"`
 	// Capacity is how much work the node can do relative to others, as its
 	// share of a processor core.
 	Capacity float64 `yaml:"capacity" validate:"min=0.001,max=100000"`
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -111,7 +111,7 @@
 	}
 	t.self = self
 	t.mesh = mesh.New(self, l, packets, t.state, link.Dial,
-		mesh.WithSeeds(t.set.Peers), mesh.WithLog(t.log), mesh.WithChanged(t.membersChanged),
+		mesh.WithSeeds(t.set.Peers), mesh.WithFirstStart(t.set.FirstStart), mesh.WithLog(t.log), mesh.WithChanged(t.membersChanged),
 		mesh.WithService(relay.GatherService, t.engine.Gatherer()))
 	t.state.publish, t.state.age = t.mesh.Publish, t.mesh.BestStoreAge
 	return nil
