relay, mesh: a file for each idea

Change: attempts, decisions, logs, peers, messages, places; what nodes share and how they meet. No behaviour changes.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"net/rpc"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,7 +13,6 @@
 	"github.com/sirupsen/logrus"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"geraniumstep.org/geraniumstep/internal/follow"
 	"geraniumstep.org/geraniumstep/internal/inner"
 	"geraniumstep.org/geraniumstep/pkg/member"
 	"geraniumstep.org/geraniumstep/pkg/reader"
@@ -53,19 +51,6 @@
 	forgetBeats = time.Minute
 )
 
-// State is what the nodes pass on to each other.
-type State interface {
-	// Revisions tells what this node knows.
-	Revisions() Revisions
-	// Take applies what another node knows of a topic. It reports false when
-	// changes in between are missing.
-	Take(t follow.Topic, b follow.Batch) bool
-	// Since gives what a node lacks that knows a topic up to a revision.
-	Since(t follow.Topic, revision uint64) follow.Batch
-	// StoreAge is how old this node's last answer from the store is.
-	StoreAge() time.Duration
-}
-
 // Mesh is one node's connection to the others.
 type Mesh struct {
 	self     member.Record
@@ -95,12 +80,6 @@
 	stop        context.CancelFunc
 }
 
-// heardBeat is a beat and when it came.
-type heardBeat struct {
-	beat beat
-	at   time.Time
-}
-
 // Option changes a Mesh at construction.
 type Option func(*Mesh)
 
@@ -154,11 +133,6 @@
 	return m
 }
 
-// isSeed tells whether the others begin with this node.
-func (m *Mesh) isSeed() bool {
-	return len(m.seeds) == 0 || slices.Contains(m.seeds, m.self.Addr)
-}
-
 // Reads tells whether this node reads the store.
 func (m *Mesh) Reads() bool { return m.reads.Load() }
 
@@ -283,71 +257,6 @@
 	}
 }
 
-func (m *Mesh) hear(b beat) {
-	m.mu.Lock()
-	m.beats[b.VM] = heardBeat{beat: b, at: time.Now()}
-	m.mu.Unlock()
-	m.heard(b.Addr, b.Have)
-}
-
-// heardMember pulls from a member of another domain only when the own domain
-// has no way to the store: bytes between domains cost more than a call.
-func (m *Mesh) heardMember(h member.Heard) {
-	if m.isNear(h.Addr) || m.BestStoreAge() > storeLost {
-		m.heard(h.Addr, revisionsOf(h.Versions))
-	}
-}
-
-// isNear tells whether the address is of a member of this failure domain.
-func (m *Mesh) isNear(addr string) bool {
-	for _, r := range m.domain() {
-		if r.Addr == addr {
-			return true
-		}
-	}
-	return false
-}
-
-// heard pulls what another node knows more than this one.
-func (m *Mesh) heard(addr string, have Revisions) {
-	own := m.state.Revisions()
-	for _, t := range []follow.Topic{follow.Routes, follow.Upstreams} {
-		if have.Of(t) > own.Of(t) {
-			m.pull(addr, t)
-		}
-	}
-}
-
-// pull takes a whole topic from another node, one pull of a topic at a time.
-func (m *Mesh) pull(addr string, t follow.Topic) {
-	if !m.pulling[t].CompareAndSwap(false, true) {
-		return
-	}
-	m.spawn(func(ctx context.Context) {
-		defer m.pulling[t].Store(false)
-		var reply PullReply
-		args := Pull{Topic: t, Have: m.state.Revisions().Of(t)}
-		if err := m.peers.Call(ctx, addr, methodPull, &args, &reply); err != nil {
-			m.log.WithFields(logrus.Fields{"peer": addr, "topic": t.String(), "error": err.Error()}).Debug("mesh: pull failed.")
-			return
-		}
-		if reply.Batch != nil {
-			m.state.Take(t, *reply.Batch)
-		}
-	})
-}
-
-// Publish passes changes on to the other nodes of the domain.
-func (m *Mesh) Publish(t follow.Topic, b follow.Batch) {
-	for _, r := range m.domain() {
-		m.spawn(func(ctx context.Context) {
-			if err := m.peers.Call(ctx, r.Addr, methodPush, &Push{Topic: t, Batch: b}, &None{}); err != nil {
-				m.log.WithFields(logrus.Fields{"peer": r.VM, "topic": t.String(), "error": err.Error()}).Debug("mesh: push failed.")
-			}
-		})
-	}
-}
-
 // spawn runs a call in the background until the mesh is closed.
 func (m *Mesh) spawn(f func(ctx context.Context)) {
 	if m.work.Err() != nil {
@@ -372,116 +281,3 @@
 	}
 	return list
 }
-
-// decide settles whether this node reads the store.
-func (m *Mesh) decide() {
-	now := time.Now()
-	peers := m.readers(now)
-	if reader.Heard(m.self.VM, peers) {
-		m.heardReader = now
-	}
-	var names []string
-	for _, r := range m.domain() {
-		names = append(names, r.VM)
-	}
-	reads := reader.Decide(m.self.VM, names, peers, now.Sub(m.heardReader))
-	if m.reads.Swap(reads) != reads {
-		m.log.WithFields(logrus.Fields{"reads": reads, "members": len(names), "readers": len(peers)}).Info("mesh: changed who reads the store.")
-	}
-}
-
-// readers lists the nodes of the domain that have sent beats.
-func (m *Mesh) readers(now time.Time) []reader.Peer {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var list []reader.Peer
-	for name, b := range m.beats {
-		if now.Sub(b.at) > forgetBeats {
-			delete(m.beats, name)
-			continue
-		}
-		list = append(list, reader.Peer{Name: name, Silent: now.Sub(b.at), StoreAge: b.beat.StoreAge})
-	}
-	return list
-}
-
-// BestStoreAge is how old the newest answer from the store is that this node
-// or the reader of its domain has.
-func (m *Mesh) BestStoreAge() time.Duration {
-	best := m.state.StoreAge()
-	now := time.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, b := range m.beats {
-		best = min(best, b.beat.StoreAge+now.Sub(b.at))
-	}
-	return best
-}
-
-// sendBeats tells the domain what this node has.
-func (m *Mesh) sendBeats() {
-	b := beat{VM: m.self.VM, Addr: m.self.Addr, Have: m.state.Revisions(), StoreAge: m.state.StoreAge()}
-	for _, r := range m.domain() {
-		m.send(r.Gossip, datagram{Beat: &b})
-	}
-}
-
-// alone tells whether no other member is known.
-func (m *Mesh) alone() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, r := range m.tracker.Records() {
-		if r.VM != m.self.VM && r.Status < member.Dead {
-			return false
-		}
-	}
-	return true
-}
-
-// greet exchanges views with the seeds.
-func (m *Mesh) greet() {
-	for _, addr := range m.seeds {
-		if addr != m.self.Addr {
-			m.spawn(func(ctx context.Context) { m.exchangeNow(ctx, addr) })
-		}
-	}
-}
-
-// exchange compares whole views with a member, one at a time.
-func (m *Mesh) exchange(addr string) {
-	if !m.syncing.CompareAndSwap(false, true) {
-		return
-	}
-	m.spawn(func(ctx context.Context) {
-		defer m.syncing.Store(false)
-		m.exchangeNow(ctx, addr)
-	})
-}
-
-func (m *Mesh) exchangeNow(ctx context.Context, addr string) {
-	var reply Views
-	if err := m.peers.Call(ctx, addr, methodViews, &Views{Records: m.records()}, &reply); err != nil {
-		m.log.WithFields(logrus.Fields{"peer": addr, "error": err.Error()}).Debug("mesh: views were not exchanged.")
-		return
-	}
-	m.step(member.Merged{Records: reply.Records})
-	m.pullFirst()
-}
-
-// pullFirst asks another node of the domain for all that it knows, once this node
-// has met the others and knows nothing yet.
-func (m *Mesh) pullFirst() {
-	near := m.domain()
-	if m.state.Revisions() != (Revisions{}) || len(near) == 0 {
-		return
-	}
-	r := near[rand.IntN(len(near))]
-	m.pull(r.Addr, follow.Routes)
-	m.pull(r.Addr, follow.Upstreams)
-}
-
-func (m *Mesh) records() []member.Record {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.tracker.Records()
-}
--- /dev/null
+++ b/internal/relay/deps.go
@@ -0,0 +1,75 @@
+package relay
+
+import (
+	"time"
+
+	"geraniumstep.org/geraniumstep/pkg/extra"
+	"geraniumstep.org/geraniumstep/pkg/fanout"
+)
+
+// Pick implements fanout.Deps.
+func (r *run) Pick(service string, tried []fanout.Upstream) (fanout.Upstream, bool) {
+	if g, ok := r.grouped[service]; ok && len(tried) == 0 {
+		delete(r.grouped, service)
+		return g, true
+	}
+	u := r.directory.pick(service, time.Until(r.plan.Soft), func(u *upstream) bool { return contains(tried, u) })
+	return u, u != nil
+}
+
+// Expected implements fanout.Deps.
+func (r *run) Expected(service string, tried []fanout.Upstream) (time.Duration, bool) {
+	u := r.directory.pick(service, time.Until(r.plan.Soft), func(u *upstream) bool { return contains(tried, u) })
+	if u == nil {
+		return 0, false
+	}
+	return u.stats.Expected(time.Now()), true
+}
+
+// Uses implements fanout.Deps.
+func (r *run) Uses(u fanout.Upstream) int {
+	if _, ok := u.(*group); ok {
+		return r.plan.Attempts
+	}
+	return 1
+}
+
+// HedgeAfter implements fanout.Deps.
+func (r *run) HedgeAfter(u fanout.Upstream) time.Duration {
+	return max(hedgeFactor*u.(*upstream).stats.Service(time.Now()), hedgeFloor)
+}
+
+// SpendEarly implements fanout.Deps.
+func (r *run) SpendEarly(service string) bool { return r.spend(service, extra.Early) }
+
+// SpendNeeded implements fanout.Deps.
+func (r *run) SpendNeeded(service string) bool { return r.spend(service, extra.Needed) }
+
+// count tells the budget about a first attempt that this node makes.
+func (r *run) count(service string) { r.ledger().Count(service, 1) }
+
+// ledger is the budget that the run's extra arrivals come from: nodes that reach
+// shards share one among themselves.
+func (r *run) ledger() *extra.Ledger {
+	if set := r.engine.peers.Load().set; r.gather && (set == nil || set.Gathers()) {
+		return r.engine.shards
+	}
+	return r.engine.budget
+}
+
+func (r *run) spend(service string, use extra.Use) bool {
+	if r.ledger().Spend(service, use) {
+		return true
+	}
+	r.engine.metrics.denied.Inc()
+	return false
+}
+
+func contains(tried []fanout.Upstream, u *upstream) bool {
+	for _, t := range tried {
+		if t == fanout.Upstream(u) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -3,17 +3,11 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
-	"slices"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"geraniumstep.org/geraniumstep/internal/inner"
 	"geraniumstep.org/geraniumstep/pkg/fanout"
-	"geraniumstep.org/geraniumstep/pkg/gather"
-	"geraniumstep.org/geraniumstep/pkg/place"
-	"geraniumstep.org/geraniumstep/pkg/prio"
 )
 
 const (
@@ -32,80 +26,6 @@
 	maxHops = 2
 )
 
-// Caller calls a method of another node.
-type Caller func(ctx context.Context, addr, method string, args, reply any) error
-
-// peer is another node that gathers, with this node's evidence about it.
-type peer struct {
-	node  gather.Node
-	stats *place.Stats
-	// trip is the time of the way there, in ns.
-	trip atomic.Int64
-}
-
-// travelled records how long a call took beyond the peer's own work.
-func (p *peer) travelled(both time.Duration) {
-	old := p.trip.Load()
-	p.trip.Store(old + int64(tripSmooth*float64(int64(max(both, 0)/2)-old)))
-}
-
-// peers is an immutable view of the nodes that gather.
-type peers struct {
-	set  *gather.Set
-	byVM map[string]*peer
-}
-
-// SetPeers replaces the other nodes and how they are called. Evidence about those
-// that stay is kept.
-func (e *Engine) SetPeers(set *gather.Set, call Caller) {
-	old := e.peers.Load()
-	next := &peers{set: set, byVM: make(map[string]*peer)}
-	add := func(list []gather.Node) {
-		for _, n := range list {
-			if p, ok := old.byVM[n.VM]; ok && p.node.Addr == n.Addr {
-				next.byVM[n.VM] = p
-				continue
-			}
-			p := &peer{node: n, stats: place.NewStats(e.distance(n.Domain), peerSlots, time.Time{})}
-			if p.stats.Distance() == place.OtherRegion {
-				p.trip.Store(int64(firstTrip))
-			}
-			next.byVM[n.VM] = p
-		}
-	}
-	add(set.Own())
-	for domain := range e.regions {
-		add(set.Domain(domain))
-	}
-	for _, region := range e.regions {
-		add(set.Region(region))
-	}
-	e.mu.Lock()
-	e.call = call
-	e.mu.Unlock()
-	e.peers.Store(next)
-}
-
-// peerSlots is how many searches a node is taken to gather at once without delay.
-const peerSlots = 8
-
-// pick chooses one of the nodes by the evidence.
-func (p *peers) pick(nodes []gather.Node) *peer {
-	list := make([]*peer, 0, len(nodes))
-	stats := make([]*place.Stats, 0, len(nodes))
-	for _, n := range nodes {
-		if peer, ok := p.byVM[n.VM]; ok {
-			list = append(list, peer)
-			stats = append(stats, peer.stats)
-		}
-	}
-	if len(list) == 0 {
-		return nil
-	}
-	i := place.Pick(stats, time.Now(), place.Detour{}, rand.IntN(len(stats)), func(int) bool { return false })
-	return list[i]
-}
-
 // group is a set of legs that another node gathers. It takes the place of an
 // upstream in the first attempt of each leg.
 type group struct {
@@ -131,55 +51,6 @@
 	err   error
 }
 
-// GatherCall asks a node to gather a part of a search.
-type GatherCall struct {
-	ID       string              `msgpack:"i"`
-	Request  string              `msgpack:"r"`
-	Route    string              `msgpack:"n"`
-	Method   string              `msgpack:"m"`
-	Host     string              `msgpack:"h"`
-	Target   string              `msgpack:"t"`
-	Header   map[string][]string `msgpack:"e"`
-	Body     []byte              `msgpack:"b"`
-	Services []string            `msgpack:"s"`
-	TopK     int                 `msgpack:"k"`
-	Least    int                 `msgpack:"l"`
-	Attempts int                 `msgpack:"a"`
-	Priority prio.Priority       `msgpack:"p"`
-	// Soft and Deadline are counted from the arrival of the call.
-	Soft     time.Duration `msgpack:"so"`
-	Deadline time.Duration `msgpack:"d"`
-	Hops     int           `msgpack:"ho"`
-	Version  uint64        `msgpack:"v"`
-}
-
-// GatherReply is the merged part of a search.
-type GatherReply struct {
-	// Legs are the places of the answered services in the call.
-	Legs   []int    `msgpack:"l"`
-	Proofs []string `msgpack:"p"`
-	Body   []byte   `msgpack:"b"`
-	// NotRun tells that nothing ran, and RetryAfter when to come back if the
-	// node rejected the call for load.
-	NotRun     bool          `msgpack:"n"`
-	RetryAfter time.Duration `msgpack:"r"`
-	// Took is how long the called node worked on it.
-	Took time.Duration `msgpack:"t"`
-}
-
-// CancelCall names a gather whose result is no longer wanted.
-type CancelCall struct {
-	ID string `msgpack:"i"`
-}
-
-// None is the answer to a call that returns nothing.
-type None struct {
-	_ struct{}
-}
-
-// GatherService is the name under which Gatherer is registered.
-const GatherService = "Gather"
-
 // planGroups decides which legs other nodes gather: all of them when this node
 // is not one that gathers, else those without an upstream in this region.
 func (r *run) planGroups() {
@@ -213,70 +84,6 @@
 	}
 }
 
-// away names where legs are gathered by another node: a failure domain of this
-// region, or another region.
-type away struct{ domain, region string }
-
-// awayLegs lists the services that have no upstream in this failure domain, by
-// the place that takes most of them.
-func (r *run) awayLegs() map[away][]string {
-	counts := make(map[away]int)
-	choices := make(map[string][]away)
-	for _, s := range r.plan.Services {
-		choices[s] = r.engine.awayFrom(r.directory, s)
-		for _, where := range choices[s] {
-			counts[where]++
-		}
-	}
-	out := make(map[away][]string)
-	for _, s := range r.plan.Services {
-		if len(choices[s]) == 0 {
-			continue
-		}
-		best := choices[s][0]
-		for _, where := range choices[s][1:] {
-			if counts[where] > counts[best] || counts[where] == counts[best] && where.before(best) {
-				best = where
-			}
-		}
-		out[best] = append(out[best], s)
-	}
-	return out
-}
-
-func (a away) before(b away) bool {
-	return a.region < b.region || a.region == b.region && a.domain < b.domain
-}
-
-// awayFrom lists where a service can be gathered by another node: nowhere if this
-// domain has an upstream, in the other domains of this region if one of them
-// has, else in other regions.
-func (e *Engine) awayFrom(d *directory, service string) []away {
-	p, ok := d.byService[service]
-	if !ok {
-		return nil
-	}
-	nearest := place.OtherRegion
-	for _, u := range p.upstreams {
-		nearest = min(nearest, u.stats.Distance())
-	}
-	var list []away
-	for _, u := range p.upstreams {
-		domain := u.entry.Domain()
-		if u.stats.Distance() != nearest || nearest == place.SameDomain {
-			continue
-		}
-		where := away{region: e.regions[domain]}
-		if nearest == place.SameRegion {
-			where.domain = domain
-		}
-		if !slices.Contains(list, where) {
-			list = append(list, where)
-		}
-	}
-	return list
-}
-
 // startGroups calls the peers once the machine has placed all legs.
 func (r *run) startGroups() {
 	for _, g := range r.groups {
--- /dev/null
+++ b/internal/relay/log.go
@@ -0,0 +1,48 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"geraniumstep.org/geraniumstep/internal/talk"
+	"geraniumstep.org/geraniumstep/pkg/fanout"
+)
+
+// logAttempt writes what became of one attempt.
+func (r *run) logAttempt(d done) {
+	if !r.engine.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
+		return
+	}
+	a := d.attempt
+	fields := logrus.Fields{
+		"request": r.req.ID, "leg": fanout.Leg(a.number), "upstream": a.upstream.entry.ID(), "domain": a.upstream.entry.Domain(),
+		"reason": a.reason.String(), "ok": d.ok, "cause": d.cause, "waited_ms": d.waited.Milliseconds(),
+		"took_ms": time.Since(a.placedAt).Milliseconds(),
+	}
+	if d.err != nil {
+		fields["error"] = d.err.Error()
+	}
+	r.engine.log.WithFields(fields).Debug("relay: attempt ended.")
+}
+
+// log writes the decision on the request.
+func (r *run) log(a talk.Answer) {
+	took := time.Since(r.req.Arrived)
+	kind := talk.Name(a)
+	priority := r.route.Priority().String()
+	r.engine.metrics.requests.WithLabelValues(priority, kind).Inc()
+	r.engine.metrics.latency.WithLabelValues(priority).Observe(took.Seconds())
+	answered := 0
+	if r.machine != nil {
+		answered = r.machine.Answered()
+	}
+	fields := logrus.Fields{
+		"request": r.req.ID, "route": r.route.Name(), "version": r.version, "answer": kind, "verdict": r.verdict,
+		"legs": len(r.plan.Services), "answered": answered, "extra": r.extras, "took_ms": took.Milliseconds(),
+	}
+	if r.cause != "" {
+		fields["last_failure"] = r.cause
+	}
+	r.engine.log.WithFields(fields).Info("relay: request ended.")
+}
