relay: choose by evidence among all nodes that can gather a group

Shards with upstreams in two other regions always went to the same one, so that its upstreams queued while the others idled (busiest 1.7 times the mean). Change: the peer is picked among the gatherers of all regions, or sister domains, that can take the set; small sets join a chosen peer.

--- a/internal/relay/away.go
+++ b/internal/relay/away.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"cmp"
 	"slices"
 
+	"geraniumstep.org/geraniumstep/pkg/gather"
 	"geraniumstep.org/geraniumstep/pkg/place"
 )
 
@@ -10,35 +12,47 @@
 // region, or another region.
 type away struct{ domain, region string }
 
-// awayLegs lists the services that have no upstream in this failure domain, by
-// the place that takes most of them.
-func (r *run) awayLegs() map[away][]string {
-	counts := make(map[away]int)
-	choices := make(map[string][]away)
-	for _, s := range r.plan.Services {
-		choices[s] = r.engine.awayFrom(r.directory, s)
-		for _, where := range choices[s] {
-			counts[where]++
-		}
-	}
-	out := make(map[away][]string)
-	for _, s := range r.plan.Services {
-		if len(choices[s]) == 0 {
+// awaySet is the services that can be gathered at the same places.
+type awaySet struct {
+	places   []away
+	services []string
+}
+
+// awaySets lists the services that have no upstream in this failure domain, the
+// largest set first.
+func (r *run) awaySets() []awaySet {
+	var sets []awaySet
+	for _, service := range r.plan.Services {
+		places := r.engine.awayFrom(r.directory, service)
+		if len(places) == 0 {
 			continue
 		}
-		best := choices[s][0]
-		for _, where := range choices[s][1:] {
-			if counts[where] > counts[best] || counts[where] == counts[best] && where.before(best) {
-				best = where
-			}
+		i := slices.IndexFunc(sets, func(s awaySet) bool { return slices.Equal(s.places, places) })
+		if i < 0 {
+			i = len(sets)
+			sets = append(sets, awaySet{places: places})
+		}
+		sets[i].services = append(sets[i].services, service)
+	}
+	slices.SortStableFunc(sets, func(a, b awaySet) int { return len(b.services) - len(a.services) })
+	return sets
+}
+
+// nodes lists the nodes that can gather the set.
+func (s awaySet) nodes(set *gather.Set) []gather.Node {
+	var nodes []gather.Node
+	for _, where := range s.places {
+		if where.domain != "" {
+			nodes = append(nodes, set.Domain(where.domain)...)
+		} else {
+			nodes = append(nodes, set.Region(where.region)...)
 		}
-		out[best] = append(out[best], s)
 	}
-	return out
+	return nodes
 }
 
-func (a away) before(b away) bool {
-	return a.region < b.region || a.region == b.region && a.domain < b.domain
+func compareAway(a, b away) int {
+	return cmp.Or(cmp.Compare(a.region, b.region), cmp.Compare(a.domain, b.domain))
 }
 
 // awayFrom lists where a service can be gathered by another node: nowhere if this
@@ -67,5 +81,6 @@
 			list = append(list, where)
 		}
 	}
+	slices.SortFunc(list, compareAway)
 	return list
 }
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -1,3 +1,13 @@
+// Package relay serves requests that are passed on to upstreams unchanged: to
+// one upstream of a service, to weighted services, or to one upstream of each
+// shard, whose records are merged. It joins the decisions of pkg/fanout,
+// pkg/place, pkg/admit, pkg/extra, pkg/gather and pkg/gate with connections to
+// upstreams and calls to other nodes.
+//
+//	e := relay.New(dialect, relay.WithLog(log))
+//	e.SetRoutes(snapshot)
+//	e.SetUpstreams(entries)
+//	http.Serve(listener, e.Handler())
 package relay
 
 import (
--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"time"
 
@@ -63,12 +64,20 @@
 		r.group(p.pick(p.set.Own()), r.plan.Services)
 		return
 	}
-	for where, services := range r.awayLegs() {
-		nodes := p.set.Region(where.region)
-		if where.domain != "" {
-			nodes = p.set.Domain(where.domain)
+	var chosen []*peer
+	services := make(map[*peer][]string)
+	for _, set := range r.awaySets() {
+		best := p.pickAmong(set.nodes(p.set), chosen, len(set.services) < leastGroup)
+		if best == nil {
+			continue
+		}
+		if !slices.Contains(chosen, best) {
+			chosen = append(chosen, best)
 		}
-		r.group(p.pick(nodes), services)
+		services[best] = append(services[best], set.services...)
+	}
+	for _, best := range chosen {
+		r.group(best, services[best])
 	}
 }
 
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -83,3 +84,16 @@
 	i := place.Pick(stats, time.Now(), place.Detour{}, rand.IntN(len(stats)), func(int) bool { return false })
 	return list[i]
 }
+
+// pickAmong chooses one of the nodes by the evidence. A small set joins a node
+// that was chosen already, if that can take it.
+func (p *peers) pickAmong(nodes []gather.Node, chosen []*peer, small bool) *peer {
+	if small {
+		for _, c := range chosen {
+			if slices.ContainsFunc(nodes, func(n gather.Node) bool { return n.VM == c.node.VM }) {
+				return c
+			}
+		}
+	}
+	return p.pick(nodes)
+}
