stand: give tests addresses that nothing else can take

Cause: ./platform failed once in 14 runs: a port found free on 127.0.0.1 was taken by a parallel test's connection before the node listened on it (TestStopCutsNothingOff, 'address already in use').

--- a/soak/node.go
+++ b/soak/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -10,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"geraniumstep.org/geraniumstep/platform/stand"
 )
 
 const (
@@ -46,21 +47,13 @@
 	}
 	n := &node{world: w, name: name, zone: zone, store: p}
 	for _, addr := range []*string{&n.caller, &n.inner, &n.readyz} {
-		if *addr, err = freeAddr(); err != nil {
+		if *addr, err = stand.FreeAddr(); err != nil {
 			return nil, err
 		}
 	}
 	return n, nil
 }
 
-func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
-}
-
 func (n *node) settings() string {
 	return fmt.Sprintf("vm: %s\nfailure_domain: %s\nregions: {a: ra, b: rb}\nlisten: {caller: %q, ready: %q, inner: %q}\n"+
 		"ready_path: /readiness\nplatform: {url: \"http://%s\"}\npeers: [%s, %s]\nmemory_mb: 128\nbudget: {allowance: 60}\nstop: {grace: %s, notice: 1500ms}\n",
