--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,137 @@
+package mesh
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"geraniumstep.org/geraniumstep/internal/follow"
+	"geraniumstep.org/geraniumstep/pkg/member"
+)
+
+// fakeState is a state of two views.
+type fakeState struct{ views [2]*follow.View }
+
+func newFakeState() *fakeState {
+	return &fakeState{views: [2]*follow.View{follow.NewView(), follow.NewView()}}
+}
+
+func (s *fakeState) Revisions() Revisions {
+	return Revisions{Routes: s.views[0].Changed(), Upstreams: s.views[1].Changed()}
+}
+
+func (s *fakeState) Take(t follow.Topic, b follow.Batch) bool {
+	_, ok := s.views[t].Apply(b)
+	return ok
+}
+
+func (s *fakeState) Since(t follow.Topic, revision uint64) follow.Batch {
+	return s.views[t].Since(revision)
+}
+
+func (s *fakeState) StoreAge() time.Duration { return 0 }
+
+// newMesh makes a node of the domain on loopback.
+func newMesh(t testing.TB, vm, domain string, state State, seeds ...string) *Mesh {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	packets, err := net.ListenPacket("udp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	addr := l.Addr().String()
+	self := member.Record{VM: vm, Domain: domain, Addr: addr, Gossip: addr, Started: 1}
+	dial := func(ctx context.Context, addr string) (net.Conn, error) {
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", addr)
+	}
+	return New(self, l, packets, state, dial, WithSeeds(seeds), WithLog(logrus.NewEntry(log)))
+}
+
+// start runs the node until the test ends.
+func (m *Mesh) start(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = m.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+func TestNodeThatKnowsNothingAsksItsDomain(t *testing.T) {
+	full := newFakeState()
+	full.views[follow.Routes].Apply(follow.Batch{Whole: true, Revision: 7, Changes: []follow.Change{{Name: "main", Raw: []byte("x")}}})
+	a := newMesh(t, "a", "d", full)
+	a.start(t)
+	empty := newFakeState()
+	b := newMesh(t, "b", "d", empty, a.self.Addr)
+	b.start(t)
+	for end := time.Now().Add(3 * time.Second); empty.Revisions().Routes != 7; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the new node does not know the routes after 3 s")
+		}
+	}
+}
+
+func TestChangeIsPushedWithinTheDomain(t *testing.T) {
+	sa, sb := newFakeState(), newFakeState()
+	a := newMesh(t, "a", "d", sa)
+	a.start(t)
+	b := newMesh(t, "b", "d", sb, a.self.Addr)
+	b.start(t)
+	for end := time.Now().Add(3 * time.Second); len(a.domain()) == 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the nodes have not met after 3 s")
+		}
+	}
+	batch := follow.Batch{Whole: true, Revision: 9, Changes: []follow.Change{{Name: "i-1", Raw: []byte("x")}}}
+	sa.Take(follow.Upstreams, batch)
+	a.Publish(follow.Upstreams, batch)
+	for end := time.Now().Add(3 * time.Second); sb.Revisions().Upstreams != 9; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the change did not arrive within 3 s")
+		}
+	}
+}
+
+// Whatever bytes come, the node goes on.
+func FuzzDatagram(f *testing.F) {
+	good, err := msgpack.Marshal(&datagram{Message: &member.Message{Kind: member.Probe, From: "x", Records: []member.Record{{VM: "x", Domain: "d"}}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	beaten, err := msgpack.Marshal(&datagram{Beat: &beat{VM: "y", Have: Revisions{Routes: 3}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(beaten)
+	m := newMesh(f, "self", "d", newFakeState())
+	f.Cleanup(m.close)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var d datagram
+		if msgpack.Unmarshal(data, &d) != nil {
+			return
+		}
+		if d.Message != nil {
+			m.step(member.Received{Message: *d.Message})
+		}
+		if d.Beat != nil {
+			m.hear(*d.Beat)
+		}
+	})
+}
--- /dev/null
+++ b/internal/setup/relay_test.go
@@ -0,0 +1,54 @@
+package setup
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+)
+
+const relayFile = `vm: front-a-1
+failure_domain: a
+regions: {"a": "ra", "b": "rb"}
+listen: {caller: "127.0.0.1:1", ready: "127.0.0.1:2", inner: "127.0.0.1:3", metrics: "127.0.0.1:4"}
+ready_path: /ready
+platform: {url: "http://127.0.0.1:5"}
+peers: ["127.0.0.1:3"]
+budget: {ratio: 0.2, allowance: 58, window: 10s}
+capacity: 0.4
+memory_mb: 284
+stop: {grace: 6s}
+`
+
+func TestParseRelay(t *testing.T) {
+	s, err := ParseRelay("node.yaml", []byte(relayFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Budget.Allowance != 58 || s.Stop.Grace != 6*time.Second || s.Stop.Notice == 0 || s.Regions["b"] != "rb" || s.Log.Format != "json" {
+		t.Errorf("ParseRelay() = %+v", s)
+	}
+}
+
+func TestParseRelayExplainsMistakes(t *testing.T) {
+	tests := []struct{ name, old, new, want string }{
+		{"unknown key", "capacity", "capasity", "capasity"},
+		{"wrong type", "memory_mb: 284", "memory_mb: much", "memory_mb"},
+		{"missing address", `caller: "127.0.0.1:1", `, "", "Caller"},
+		{"no path", "ready_path: /ready\n", "", "ReadyPath"},
+		{"notice beyond the grace", "grace: 6s", "grace: 2s", "shorten"},
+		{"too little memory", "284", "1", "MemoryMB"},
+	}
+	for _, tt := range tests {
+		_, err := ParseRelay("node.yaml", []byte(strings.Replace(relayFile, tt.old, tt.new, 1)))
+		if !errors.Is(err, ErrSettings) || !strings.Contains(err.Error(), "node.yaml") || !strings.Contains(err.Error(), tt.want) {
+			t.Errorf("%s: error = %v, want one that names the file and %q", tt.name, err, tt.want)
+		}
+	}
+}
+
+func FuzzParseRelay(f *testing.F) {
+	f.Add([]byte(relayFile))
+	f.Add([]byte("listen: [1]\nbudget: {window: -1s}"))
+	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = ParseRelay("node.yaml", data) })
+}
