relay: take the way to call peers from the same view as the peers

Cause: found by reading: the function that calls peers was replaced under a lock and read without it (TestPeersChangeWhileSearching reports a data race before). Change: it stands in the immutable view of the peers.

--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -47,7 +47,6 @@
 	metrics   *metrics
 	tickets   atomic.Uint64
 
-	call      Caller
 	peers     atomic.Pointer[peers]
 	gathering sync.Map // id of a gather for another node to its cancel function
 
--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -31,6 +31,7 @@
 // upstream in the first attempt of each leg.
 type group struct {
 	peer     *peer
+	call     Caller
 	services []string
 	attempts []int
 	id       string
@@ -61,7 +62,7 @@
 		return
 	}
 	if r.hops == 0 && !p.set.Gathers() {
-		r.group(p.pick(p.set.Own()), r.plan.Services)
+		r.group(p.call, p.pick(p.set.Own()), r.plan.Services)
 		return
 	}
 	var chosen []*peer
@@ -77,16 +78,16 @@
 		services[best] = append(services[best], set.services...)
 	}
 	for _, best := range chosen {
-		r.group(best, services[best])
+		r.group(p.call, best, services[best])
 	}
 }
 
 // group hands services to a peer, if there is one and they are worth it.
-func (r *run) group(p *peer, services []string) {
+func (r *run) group(call Caller, p *peer, services []string) {
 	if p == nil || len(services) < leastGroup || p.stats.Shut(time.Now()) {
 		return
 	}
-	g := &group{peer: p, services: services, id: r.req.ID + "/" + strconv.FormatUint(r.engine.tickets.Add(1), 36)}
+	g := &group{peer: p, call: call, services: services, id: r.req.ID + "/" + strconv.FormatUint(r.engine.tickets.Add(1), 36)}
 	r.groups = append(r.groups, g)
 	for _, s := range services {
 		r.grouped[s] = g
@@ -107,7 +108,7 @@
 			ctx, cancel := context.WithDeadline(r.engine.work, r.plan.Deadline)
 			defer cancel()
 			d := groupDone{group: g}
-			d.err = r.engine.call(ctx, g.peer.node.Addr, GatherService+".Gather", call, &d.reply)
+			d.err = g.call(ctx, g.peer.node.Addr, GatherService+".Gather", call, &d.reply)
 			r.tell(d)
 		})
 	}
@@ -224,7 +225,7 @@
 			ctx, cancel := context.WithTimeout(r.engine.work, time.Second)
 			defer cancel()
 			// A peer that cannot be told stops at its deadline.
-			_ = r.engine.call(ctx, g.peer.node.Addr, GatherService+".Cancel", &CancelCall{ID: g.id}, &None{})
+			_ = g.call(ctx, g.peer.node.Addr, GatherService+".Cancel", &CancelCall{ID: g.id}, &None{})
 		})
 	}
 }
--- a/internal/relay/handoff_test.go
+++ b/internal/relay/handoff_test.go
@@ -152,3 +152,28 @@
 		t.Error("the peer's upstream still worked 400 ms after the caller had gone")
 	}
 }
+
+// Members come and go while searches run; the race detector watches.
+func TestPeersChangeWhileSearching(t *testing.T) {
+	p := newPair(t, 1)
+	a := gather.Node{VM: "vm-a", Addr: "a:1", Domain: "a1", Region: "a", Capacity: 1}
+	b := gather.Node{VM: "vm-b", Addr: "b:1", Domain: "b1", Region: "b", Capacity: 1}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 50 {
+			p.near.SetPeers(gather.New(a, []gather.Node{b}), p.call)
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	for i := 0; ; i++ {
+		select {
+		case <-done:
+			return
+		default:
+		}
+		if got, ok := p.near.Do(context.Background(), request("search", fmt.Sprintf("r-%d", i))).(talk.Merged); !ok || got.Missing != 0 {
+			t.Fatalf("request %d: Do() = %+v, want all parts", i, got)
+		}
+	}
+}
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -32,13 +32,14 @@
 type peers struct {
 	set  *gather.Set
 	byVM map[string]*peer
+	call Caller
 }
 
 // SetPeers replaces the other nodes and how they are called. Evidence about those
 // that stay is kept.
 func (e *Engine) SetPeers(set *gather.Set, call Caller) {
 	old := e.peers.Load()
-	next := &peers{set: set, byVM: make(map[string]*peer)}
+	next := &peers{set: set, byVM: make(map[string]*peer), call: call}
 	add := func(list []gather.Node) {
 		for _, n := range list {
 			if p, ok := old.byVM[n.VM]; ok && p.node.Addr == n.Addr {
@@ -59,9 +60,6 @@
 	for _, region := range e.regions {
 		add(set.Region(region))
 	}
-	e.mu.Lock()
-	e.call = call
-	e.mu.Unlock()
 	e.peers.Store(next)
 }
 
