soak: look whether a process is wanted before its end is told

Ruled out: an exit of the program by itself, which would have ended with an error or left a log of its cause; code 0 is the end of a graceful stop. Change: the wish is read before the end is told.

--- a/soak/node.go
+++ b/soak/node.go
@@ -87,10 +87,11 @@
 // watch tells of a process that ends by itself or not in order.
 func (n *node) watch(cmd *exec.Cmd, ended chan struct{}) {
 	err := cmd.Wait()
-	close(ended)
+	// Whoever waits for the end may start the next process at once.
 	n.mu.Lock()
 	wanted := n.wanted
 	n.mu.Unlock()
+	close(ended)
 	if wanted {
 		t := n.world.truth
 		t.mu.Lock()
