mesh: a reader says at once that the store turns it away

When the store turned the domain's reader away, the next node took over only when the reader's last answer was 2.6 s old. By then the directory of every node of the domain was disturbed, and removals were doubted for 2.2 s more: 3.2 s in the trace. A single failed call disturbed the reader's directory as well.

Change: beats carry for how long the store has failed the reader, and a beat goes out at once when that reaches 500 ms (some tries; one lost answer changes nothing). The next node takes over then. A directory is disturbed by failures of its own only from 1.5 s on, which is less than the two intervals of silence that remove an entry during an outage.

Ruled out: a shorter age of the last answer (it must stay above a watch's wait, or quiet stores would wake second readers).

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -92,6 +92,8 @@
 	// Answered tells that the store has answered; Lost that it does not.
 	Answered(t Topic)
 	Lost(t Topic, err error)
+	// Paused tells that the store is not called any more for now.
+	Paused(t Topic)
 }
 
 const (
@@ -159,7 +161,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if !f.active() {
-			f.idle = true
+			f.pause()
 			sleep(ctx, idlePause)
 			continue
 		}
@@ -168,6 +170,14 @@
 	return nil
 }
 
+func (f *Follower) pause() {
+	if f.idle {
+		return
+	}
+	f.idle = true
+	f.sink.Paused(f.topic)
+}
+
 // once makes one call and gives the pause before the next.
 func (f *Follower) once(ctx context.Context) time.Duration {
 	revision, known := f.sink.Position(f.topic)
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -64,6 +64,8 @@
 	}
 }
 
+func (s *fakeSink) Paused(Topic) {}
+
 func (s *fakeSink) Lost(Topic, error) {
 	if !s.down {
 		s.down = true
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -15,7 +15,6 @@
 
 	"geraniumstep.org/geraniumstep/internal/inner"
 	"geraniumstep.org/geraniumstep/pkg/member"
-	"geraniumstep.org/geraniumstep/pkg/reader"
 )
 
 const (
@@ -73,6 +72,10 @@
 	reads atomic.Bool
 	// heardReader is when a fresh reader was last heard; only Run uses it.
 	heardReader time.Time
+	// beaten is when the last beat was sent, and saidFailing what it said of
+	// the store; only Run uses them.
+	beaten      time.Time
+	saidFailing bool
 	pulling     [2]atomic.Bool
 	syncing     atomic.Bool
 	tasks       sync.WaitGroup
@@ -147,7 +150,7 @@
 	go m.accept()
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
-	greeted, beaten := time.Time{}, time.Time{}
+	greeted := time.Time{}
 	for {
 		now := time.Now()
 		if m.alone() && now.Sub(greeted) >= greetEvery {
@@ -155,10 +158,7 @@
 			m.greet()
 		}
 		m.decide()
-		if m.Reads() && now.Sub(beaten) >= reader.BeatEvery {
-			beaten = now
-			m.sendBeats()
-		}
+		m.beatIfDue(now)
 		select {
 		case <-ctx.Done():
 			m.close()
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -34,7 +34,8 @@
 	return s.views[t].Since(revision)
 }
 
-func (s *fakeState) StoreAge() time.Duration { return 0 }
+func (s *fakeState) StoreAge() time.Duration     { return 0 }
+func (s *fakeState) StoreFailing() time.Duration { return 0 }
 
 // newMesh makes a node of the domain on loopback.
 func newMesh(t testing.TB, vm, domain string, state State, seeds ...string) *Mesh {
--- a/internal/mesh/share.go
+++ b/internal/mesh/share.go
@@ -23,6 +23,9 @@
 	Since(t follow.Topic, revision uint64) follow.Batch
 	// StoreAge is how old this node's last answer from the store is.
 	StoreAge() time.Duration
+	// StoreFailing is for how long the store has failed this node, 0 when it
+	// answered the last call.
+	StoreFailing() time.Duration
 }
 
 // heardBeat is a beat and when it came.
@@ -113,7 +116,7 @@
 			delete(m.beats, name)
 			continue
 		}
-		list = append(list, reader.Peer{Name: name, Silent: now.Sub(b.at), StoreAge: b.beat.StoreAge})
+		list = append(list, reader.Peer{Name: name, Silent: now.Sub(b.at), StoreAge: b.beat.StoreAge, Failing: b.beat.StoreFailing})
 	}
 	return list
 }
@@ -131,9 +134,23 @@
 	return best
 }
 
+// beatIfDue sends beats while this node reads, and at once when the store turns
+// out to fail it or to answer again.
+func (m *Mesh) beatIfDue(now time.Time) {
+	failing := m.state.StoreFailing() >= reader.FailingAfter
+	if !m.Reads() || (now.Sub(m.beaten) < reader.BeatEvery && failing == m.saidFailing) {
+		return
+	}
+	m.beaten, m.saidFailing = now, failing
+	m.sendBeats()
+}
+
 // sendBeats tells the domain what this node has.
 func (m *Mesh) sendBeats() {
-	b := beat{VM: m.self.VM, Addr: m.self.Addr, Have: m.state.Revisions(), StoreAge: m.state.StoreAge()}
+	b := beat{
+		VM: m.self.VM, Addr: m.self.Addr, Have: m.state.Revisions(),
+		StoreAge: m.state.StoreAge(), StoreFailing: m.state.StoreFailing(),
+	}
 	for _, r := range m.domain() {
 		m.send(r.Gossip, datagram{Beat: &b})
 	}
--- a/internal/mesh/types.go
+++ b/internal/mesh/types.go
@@ -54,6 +54,8 @@
 	Have Revisions `msgpack:"h"`
 	// StoreAge is how old the node's last answer from the store is.
 	StoreAge time.Duration `msgpack:"s"`
+	// StoreFailing is for how long the store has failed the node.
+	StoreFailing time.Duration `msgpack:"f,omitempty"`
 }
 
 // datagram is one UDP message: either a message between members or a beat.
--- a/internal/tier/state.go
+++ b/internal/tier/state.go
@@ -21,6 +21,10 @@
 	// what vanishes from it is doubted. It is above the time that a watch may
 	// wait and below the time after which silent upstreams are removed.
 	disturbedAfter = 2600 * time.Millisecond
+	// outage is how long the store must have failed before what vanishes from
+	// it is doubted: silent upstreams are removed after three intervals of a
+	// second or more, so that less than two intervals make nothing vanish.
+	outage = 1500 * time.Millisecond
 )
 
 // topics lists what is followed.
@@ -37,6 +41,9 @@
 	// process started.
 	answered [len(topics)]atomic.Pointer[time.Time]
 	began    time.Time
+	// failing is since when the store has failed each topic, nil while it
+	// answers.
+	failing [len(topics)]atomic.Pointer[time.Time]
 	// publish passes changes on to the other nodes, and age is how old the
 	// newest answer from the store is that this node can rely on.
 	publish func(t follow.Topic, b follow.Batch)
@@ -156,19 +163,47 @@
 // Answered implements follow.Sink.
 func (s *state) Answered(t follow.Topic) {
 	now := time.Now()
+	if since := s.failing[t].Swap(nil); since != nil && t == follow.Upstreams && now.Sub(*since) >= outage {
+		s.disturb()
+	}
 	s.answered[t].Store(&now)
 }
 
 // Lost implements follow.Sink.
 func (s *state) Lost(t follow.Topic, _ error) {
-	if t != follow.Upstreams || s.age() < s.StoreAge() {
-		return // another node's answers are fresher
+	now := time.Now()
+	s.failing[t].CompareAndSwap(nil, &now)
+	if t == follow.Upstreams && s.StoreFailing() >= outage {
+		s.disturb()
+	}
+}
+
+// Paused implements follow.Sink. What the store did before a pause tells nothing
+// of what it did during it.
+func (s *state) Paused(t follow.Topic) { s.failing[t].Store(nil) }
+
+// disturb makes the directory doubt what vanishes, unless another node's answers
+// are fresher.
+func (s *state) disturb() {
+	if s.age() < s.StoreAge() {
+		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.directory.Step(fleet.Disturbed{})
 }
 
+// StoreFailing implements mesh.State.
+func (s *state) StoreFailing() time.Duration {
+	longest := time.Duration(0)
+	for t := range s.failing {
+		if since := s.failing[t].Load(); since != nil {
+			longest = max(longest, time.Since(*since))
+		}
+	}
+	return longest
+}
+
 // StoreAge implements mesh.State.
 func (s *state) StoreAge() time.Duration {
 	oldest := time.Duration(0)
--- /dev/null
+++ b/internal/tier/state_test.go
@@ -0,0 +1,81 @@
+package tier
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"geraniumstep.org/geraniumstep/internal/follow"
+	"geraniumstep.org/geraniumstep/internal/relay"
+	"geraniumstep.org/geraniumstep/pkg/fleet"
+)
+
+// idSource is a source whose objects are upstreams named by their ids.
+type idSource struct{}
+
+func (idSource) List(context.Context, follow.Topic) (follow.Batch, error) {
+	return follow.Batch{}, nil
+}
+
+func (idSource) Watch(context.Context, follow.Topic, uint64, time.Duration) (follow.Batch, error) {
+	return follow.Batch{}, nil
+}
+
+func (idSource) Decode(_ follow.Topic, c follow.Change) (follow.Event, bool) {
+	if c.Gone {
+		return follow.Gone{ID: c.Name}, true
+	}
+	return follow.Seen{Entry: fleet.NewEntry(c.Name, "svc", "127.0.0.1:1")}, true
+}
+
+// A removal counts at once after a short failure of the store, and is doubted
+// after one in which silent upstreams may have been removed.
+func TestRemovalsAreDoubtedAfterAnOutageOnly(t *testing.T) {
+	errDown := errors.New("down")
+	for _, c := range []struct {
+		name   string
+		events func(s *state)
+		want   int
+	}{
+		{"no failure", func(*state) {}, 2},
+		{"short failure", func(s *state) {
+			s.Lost(follow.Upstreams, errDown)
+			time.Sleep(outage / 2)
+			s.Answered(follow.Upstreams)
+		}, 2},
+		{"outage", func(s *state) {
+			s.Lost(follow.Upstreams, errDown)
+			time.Sleep(outage)
+			s.Answered(follow.Upstreams)
+		}, 3},
+		{"failure before a pause", func(s *state) {
+			s.Lost(follow.Upstreams, errDown)
+			s.Paused(follow.Upstreams)
+			time.Sleep(outage)
+			s.Answered(follow.Upstreams)
+		}, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := logrus.New()
+				log.SetOutput(io.Discard)
+				entry := logrus.NewEntry(log)
+				engine := relay.New(nil, relay.WithLog(entry))
+				defer engine.Close()
+				s := newState(engine, idSource{}, entry)
+				s.Apply(follow.Upstreams, follow.Batch{Whole: true, Revision: 5, Changes: []follow.Change{{Name: "a"}, {Name: "b"}, {Name: "c"}}})
+				s.Answered(follow.Upstreams)
+				c.events(s)
+				s.Apply(follow.Upstreams, follow.Batch{From: 5, Revision: 6, Changes: []follow.Change{{Name: "a", Gone: true}}})
+				if got := len(s.directory.Entries()); got != c.want {
+					t.Errorf("upstreams after a removal = %d, want %d", got, c.want)
+				}
+			})
+		})
+	}
+}
--- a/pkg/reader/reader.go
+++ b/pkg/reader/reader.go
@@ -22,6 +22,9 @@
 	// staleAfter is the age of a reader's last answer from the store at which
 	// the next takes over; a watch that hears nothing answers more often.
 	staleAfter = 2600 * time.Millisecond
+	// FailingAfter is how long the store may fail a reader before the next
+	// takes over: some tries, so that one lost answer changes nothing.
+	FailingAfter = 500 * time.Millisecond
 )
 
 // Peer is what is known of another node of the domain that reads the store.
@@ -32,6 +35,14 @@
 	Silent time.Duration
 	// StoreAge is how old its last answer from the store was at that beat.
 	StoreAge time.Duration
+	// Failing is for how long the store had failed it at that beat, 0 when
+	// the last call was answered.
+	Failing time.Duration
+}
+
+// fresh tells whether the peer is heard and the store answers it.
+func (p Peer) fresh() bool {
+	return p.Silent < silence && p.Silent+p.StoreAge < staleAfter && p.Failing < FailingAfter
 }
 
 const (
@@ -61,7 +72,7 @@
 // Heard tells whether a node that ranks before self is heard and fresh.
 func Heard(self string, peers []Peer) bool {
 	for _, p := range peers {
-		if ranksBefore(p.Name, self) && p.Silent < silence && p.Silent+p.StoreAge < staleAfter {
+		if ranksBefore(p.Name, self) && p.fresh() {
 			return true
 		}
 	}
--- a/pkg/reader/reader_test.go
+++ b/pkg/reader/reader_test.go
@@ -44,13 +44,14 @@
 				Name:     fmt.Sprintf("vm-%d", k),
 				Silent:   time.Duration(rapid.IntRange(0, 3000).Draw(t, "silent")) * time.Millisecond,
 				StoreAge: time.Duration(rapid.IntRange(0, 5000).Draw(t, "age")) * time.Millisecond,
+				Failing:  time.Duration(rapid.IntRange(0, 1000).Draw(t, "failing")) * time.Millisecond,
 			})
 		}
 		if Decide("vm-0", nil, peers, time.Hour) {
 			return
 		}
 		for _, p := range peers {
-			if p.Silent < silence && p.Silent+p.StoreAge < staleAfter && rank(p.Name) < rank("vm-0") {
+			if p.Silent < silence && p.Silent+p.StoreAge < staleAfter && p.Failing < FailingAfter && rank(p.Name) < rank("vm-0") {
 				return
 			}
 		}
@@ -58,6 +59,24 @@
 	})
 }
 
+// Replays a store that turns the reader away: the next takes over long before
+// the reader's last answer is old, but not for one lost answer.
+func TestNextTakesOverWhenTheStoreTurnsTheReaderAway(t *testing.T) {
+	names := []string{"vm-0", "vm-1"}
+	if ranksBefore(names[1], names[0]) {
+		names[0], names[1] = names[1], names[0]
+	}
+	for _, c := range []struct {
+		failing time.Duration
+		want    bool
+	}{{0, false}, {FailingAfter / 2, false}, {FailingAfter, true}} {
+		peers := []Peer{{Name: names[0], StoreAge: c.failing, Failing: c.failing}}
+		if got := Decide(names[1], names[:1], peers, turn); got != c.want {
+			t.Errorf("Decide() with a reader failed for %v = %v, want %v", c.failing, got, c.want)
+		}
+	}
+}
+
 func TestAloneReads(t *testing.T) {
 	if !Decide("vm-0", nil, nil, 0) {
 		t.Error("Decide() without peers = false, want true")
