link: read the answer while a long request is sent

Cause: Exchange wrote the whole message before it read.

Change: for messages above 16 KB the answer is read while the message is sent; an early answer ends the sending, and the connection is not used again. Shorter messages are sent and read in turn as before: no goroutine more.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -44,6 +44,9 @@
 	// maxAnswerBytes bounds an upstream's answer in memory.
 	maxAnswerBytes = 8 << 20
 	connBuffer     = 4 << 10
+	// aheadBytes is the size of a message from which on the answer is read
+	// while the message is sent. A socket takes a shorter one at once.
+	aheadBytes = 16 << 10
 )
 
 var (
@@ -127,13 +130,9 @@
 // bytes may have left.
 func (c *Conn) Exchange(req *talk.Request, message []byte, d talk.Dialect) (res *Response, wrote bool, err error) {
 	c.reuse = false
-	n, err := c.Write(message)
+	r, sent, err := c.sendAndReadHead(req.Method, message)
 	if err != nil {
-		return nil, n > 0, fmt.Errorf("send: %w", err)
-	}
-	r, err := c.readHead(req.Method)
-	if err != nil {
-		return nil, true, fmt.Errorf("read answer: %w", err)
+		return nil, sent > 0, err
 	}
 	reply := d.ReadReply(r.StatusCode, r.Header)
 	if reply.RequestID != "" && reply.RequestID != req.ID {
@@ -146,17 +145,49 @@
 	if len(body) > maxAnswerBytes {
 		return nil, true, errTooLarge
 	}
-	c.reuse = !r.Close && c.reader.Buffered() == 0
+	c.reuse = !r.Close && c.reader.Buffered() == 0 && sent == len(message)
 	c.usable = time.Now().Add(idleTime(r.Header))
 	return &Response{status: r.StatusCode, header: r.Header, body: body, reply: reply}, true, nil
 }
 
+// sendAndReadHead sends the message and reads the head of the answer. An upstream
+// may answer before it has read a long message; the rest is not sent then.
+func (c *Conn) sendAndReadHead(method string, message []byte) (r *http.Response, sent int, err error) {
+	if len(message) <= aheadBytes {
+		if sent, err = c.Write(message); err != nil {
+			return nil, sent, fmt.Errorf("send: %w", err)
+		}
+		r, err = c.readHead(method)
+		return r, sent, err
+	}
+	var sendErr error
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		sent, sendErr = c.Write(message)
+	}()
+	r, err = c.readHead(method)
+	// Has no effect on a message that is sent.
+	deadlineErr := c.SetWriteDeadline(time.Unix(1, 0))
+	if deadlineErr != nil {
+		_ = c.Close()
+	}
+	<-done
+	if err != nil {
+		err = errors.Join(err, sendErr)
+	}
+	return r, sent, errors.Join(err, deadlineErr)
+}
+
 // readHead reads the head of the final answer, passing over interim ones.
 func (c *Conn) readHead(method string) (*http.Response, error) {
 	for {
 		r, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil || r.StatusCode >= http.StatusOK {
-			return r, err
+		if err != nil {
+			return nil, fmt.Errorf("read answer: %w", err)
+		}
+		if r.StatusCode >= http.StatusOK {
+			return r, nil
 		}
 	}
 }
