relay: retry legs that a peer did not reach

Cause: a group that came back short counted as if each of its legs had reached all the upstreams it was allowed, also when the peer had rejected the call or had sent a leg once or not at all.

Change: the reply tells how many upstreams each leg may have reached; the first node uses what is left, free of budget where nothing was sent.

Tests that failed first: TestLegsOfAPeerAreTriedAgainWhereAttemptsAreLeft, TestLeftAttemptsOfAPeerAreUsed.

--- a/internal/relay/gathercall.go
+++ b/internal/relay/gathercall.go
@@ -34,6 +34,9 @@
 	Legs   []int    `msgpack:"l"`
 	Proofs []string `msgpack:"p"`
 	Body   []byte   `msgpack:"b"`
+	// Reached is, for each service of the call, how many upstreams it may
+	// have reached.
+	Reached []int `msgpack:"u"`
 	// NotRun tells that nothing ran, and RetryAfter when to come back if the
 	// node rejected the call for load.
 	NotRun     bool          `msgpack:"n"`
--- a/internal/relay/gatherer.go
+++ b/internal/relay/gatherer.go
@@ -90,6 +90,9 @@
 		reply.Legs = append(reply.Legs, i)
 	}
 	reply.Body = m.Bytes()
+	for i := range r.plan.Services {
+		reply.Reached = append(reply.Reached, r.machine.Reached(i))
+	}
 	reply.NotRun = r.claims.close() && len(reply.Legs) == 0
 	var answer talk.Answer = talk.Merged{Missing: len(r.plan.Services) - len(reply.Legs)}
 	if reply.NotRun {
--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -168,10 +168,34 @@
 	g.answered, g.body, g.proofs = true, d.reply.Body, d.reply.Proofs
 }
 
+// reached tells how many upstreams each service of the group may have reached:
+// as many as it was allowed if the peer does not tell, none if the peer rejected
+// the call.
+func (g *group) reached(d groupDone, allowed int) map[string]int {
+	reached := make(map[string]int, len(g.services))
+	rejected := d.err == nil && d.reply.NotRun && d.reply.RetryAfter > 0
+	told := d.err == nil && len(d.reply.Reached) == len(g.services)
+	for i, s := range g.services {
+		switch {
+		case rejected:
+			reached[s] = 0
+		case told:
+			reached[s] = min(max(d.reply.Reached[i], 0), allowed)
+		default:
+			reached[s] = allowed
+		}
+	}
+	return reached
+}
+
 // applyGroup feeds the end of each leg of a group to the machine.
 func (r *run) applyGroup(g *group, d groupDone, unsent bool) (fanout.Outcome, bool) {
+	reached := g.reached(d, r.plan.Attempts)
 	for _, n := range g.attempts {
-		var ev fanout.Event = fanout.Failed{Attempt: n, NotRun: unsent || d.reply.NotRun, Unsent: unsent}
+		k := reached[r.plan.Services[fanout.Leg(n)]]
+		var ev fanout.Event = fanout.Failed{
+			Attempt: n, NotRun: unsent || d.reply.NotRun, Unsent: unsent || k == 0, Left: r.plan.Attempts - k,
+		}
 		if g.legs[fanout.Leg(n)] {
 			ev = fanout.Answered{Attempt: n}
 		} else {
--- a/internal/relay/handoff_test.go
+++ b/internal/relay/handoff_test.go
@@ -24,6 +24,8 @@
 	nearUps   []*standin
 	calls     int
 	fail      error
+	// reply is what the peer replies instead of gathering.
+	reply *GatherReply
 }
 
 // call stands in for the connection between the nodes.
@@ -35,6 +37,10 @@
 		return p.far.Gatherer().Cancel(args.(*CancelCall), &None{})
 	}
 	p.calls++
+	if p.reply != nil {
+		*reply.(*GatherReply) = *p.reply
+		return nil
+	}
 	return p.far.Gatherer().Gather(args.(*GatherCall), reply.(*GatherReply))
 }
 
@@ -115,6 +121,31 @@
 	}
 }
 
+// Replays a peer whose upstreams refuse: of the legs that it gives up, this node
+// tries those again that have upstreams left to be sent to.
+func TestLegsOfAPeerAreTriedAgainWhereAttemptsAreLeft(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		reply   GatherReply
+		missing int
+	}{
+		{"peer rejects the call", GatherReply{NotRun: true, RetryAfter: time.Second}, 0},
+		{"no leg was sent", GatherReply{Reached: []int{0, 0, 0, 0}}, 0},
+		{"one leg has used up its attempts", GatherReply{Reached: []int{0, 2, 0, 0}}, 1},
+		{"peer does not tell", GatherReply{}, 4},
+		{"peer tells nonsense", GatherReply{Reached: []int{-5, 0, 99, 0}}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPair(t, 0.4)
+			p.reply = &c.reply
+			got, ok := p.near.Do(context.Background(), request("search", "r-1")).(talk.Merged)
+			if !ok || got.Missing != c.missing {
+				t.Errorf("Do() = %+v, want %d parts missing", got, c.missing)
+			}
+		})
+	}
+}
+
 // Replays a straggler at the peer: the peer answers early enough with the legs
 // that it has.
 func TestPeerAnswersInTimeWithWhatItHas(t *testing.T) {
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -67,6 +67,9 @@
 // Answered is how many legs have answered.
 func (f *Fanout) Answered() int { return f.answered }
 
+// Reached is how many upstreams the leg may have reached so far.
+func (f *Fanout) Reached(leg int) int { return f.legs[leg].reached }
+
 // Step applies one event and returns what has to be done. The slice is valid
 // until the next call.
 func (f *Fanout) Step(ev Event) []Action {
@@ -158,6 +161,8 @@
 	}
 	if ev.Unsent {
 		l.reached -= a.uses
+	} else {
+		l.reached -= min(max(ev.Left, 0), a.uses-1)
 	}
 	if len(l.live) == 0 {
 		f.again(i, now)
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -174,6 +174,19 @@
 	})
 }
 
+// Replays a peer that sent a leg to one upstream of the two that it was allowed.
+func TestLeftAttemptsOfAPeerAreUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for left, want := range []int{0, 1} {
+			f := New(plan(1, 1), &fakeDeps{uses: 2, hedgeAfter: time.Second, expected: time.Millisecond, budget: 9})
+			f.Step(Start{})
+			if got := len(sends(f.Step(Failed{Left: left}))); got != want {
+				t.Errorf("sends after a failure with %d attempts left = %d, want %d", left, got, want)
+			}
+		}
+	})
+}
+
 // Replays a peer that hedges by itself: with two attempts allowed the caller must
 // add none, unless nothing was sent.
 func TestPeerUsesAllAttempts(t *testing.T) {
--- a/pkg/fanout/types.go
+++ b/pkg/fanout/types.go
@@ -73,6 +73,9 @@
 	// Unsent tells that nothing reached an upstream, so that another send
 	// is no extra arrival.
 	Unsent bool
+	// Left is how many of the upstreams that the attempt might have reached
+	// it did not reach; the leg may be sent to them yet.
+	Left int
 }
 
 // Tick tells that the time of Wake has come.
