fanout: leave the budget to retries when a hedge may be refused

Change: a hedge to an upstream that fails a fifth of its requests or more is charged as early, so that retries keep their share of the budget.

Tests: TestHedgeToAnUnreliableUpstreamIsEarly, TestReliable.

--- a/internal/relay/deps.go
+++ b/internal/relay/deps.go
@@ -34,6 +34,9 @@
 	return 1
 }
 
+// Reliable implements fanout.Deps.
+func (r *run) Reliable(u fanout.Upstream) bool { return u.(*upstream).stats.Reliable(time.Now()) }
+
 // HedgeAfter implements fanout.Deps.
 func (r *run) HedgeAfter(u fanout.Upstream) time.Duration {
 	return max(hedgeFactor*u.(*upstream).stats.Service(time.Now()), hedgeFloor)
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -241,15 +241,16 @@
 	l := &f.legs[i]
 	service := f.plan.Services[i]
 	u, ok := f.deps.Pick(service, l.tried)
-	if !ok || !f.spendHedge(service, l.hedgeWhy) {
+	if !ok || !f.spendHedge(service, u, l.hedgeWhy) {
 		f.planHedge(i, now.Add(retryPause), now)
 		return
 	}
 	f.send(i, u, l.hedgeWhy, now)
 }
 
-func (f *Fanout) spendHedge(service string, why Reason) bool {
-	if why == ReasonLate {
+// spendHedge leaves to retries what a hedge needs that the upstream may refuse.
+func (f *Fanout) spendHedge(service string, u Upstream, why Reason) bool {
+	if why == ReasonLate && f.deps.Reliable(u) {
 		return f.deps.SpendNeeded(service)
 	}
 	return f.deps.SpendEarly(service)
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -13,6 +13,9 @@
 	expected   time.Duration
 	budget     int
 	none       bool
+	unreliable bool
+	// early counts what was spent as early.
+	early int
 }
 
 func (d *fakeDeps) Pick(service string, tried []Upstream) (Upstream, bool) {
@@ -30,7 +33,12 @@
 	return d.expected, len(tried) < 2
 }
 
-func (d *fakeDeps) SpendEarly(string) bool { return d.spend() }
+func (d *fakeDeps) Reliable(Upstream) bool { return !d.unreliable }
+
+func (d *fakeDeps) SpendEarly(string) bool {
+	d.early++
+	return d.spend()
+}
 
 func (d *fakeDeps) SpendNeeded(string) bool { return d.spend() }
 
@@ -174,6 +182,25 @@
 	})
 }
 
+// Replays replicas of which half refuse: a hedge to one that refuses leaves to
+// retries their part of the budget, however late it is.
+func TestHedgeToAnUnreliableUpstreamIsEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, unreliable := range []bool{false, true} {
+			deps := &fakeDeps{hedgeAfter: time.Second, expected: time.Millisecond, budget: 1, unreliable: unreliable}
+			f := New(plan(1, 1), deps)
+			f.Step(Start{})
+			time.Sleep(time.Until(f.Wake()))
+			if got := len(sends(f.Step(Tick{}))); got != 1 {
+				t.Fatalf("hedges at the last moment = %d, want 1", got)
+			}
+			if got := deps.early == 1; got != unreliable {
+				t.Errorf("hedge to an upstream, unreliable %v, is early = %v", unreliable, got)
+			}
+		}
+	})
+}
+
 // Replays a peer that sent a leg to one upstream of the two that it was allowed.
 func TestLeftAttemptsOfAPeerAreUsed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/fanout/types.go
+++ b/pkg/fanout/types.go
@@ -44,6 +44,8 @@
 	// Uses is how many upstreams an attempt may reach: one, or more when a
 	// peer that hedges by itself makes the attempt.
 	Uses(u Upstream) int
+	// Reliable tells whether the upstream is likely to answer.
+	Reliable(u Upstream) bool
 	// HedgeAfter is how long an attempt at the upstream may take before a
 	// hedge is worth its cost.
 	HedgeAfter(u Upstream) time.Duration
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -41,6 +41,9 @@
 	failureMemory = 3 * time.Second
 	// failureCost is the cost of a certain failure.
 	failureCost = 600 * time.Millisecond
+	// reliableBelow is the failure rate above which an extra arrival is more
+	// likely to cost another one than to help.
+	reliableBelow = 0.2
 	// loadMemory is for how long an upstream's word on its queue holds.
 	loadMemory = 150 * time.Millisecond
 	// coldFactor is how much slower a cold upstream is taken to be.
@@ -218,6 +221,9 @@
 // shutCost puts an upstream behind all others.
 const shutCost = time.Hour
 
+// Reliable tells whether the upstream answers most of its requests.
+func (s *Stats) Reliable(now time.Time) bool { return s.failureRate(now) < reliableBelow }
+
 // Shut tells whether the upstream proved to be gone just now.
 func (s *Stats) Shut(now time.Time) bool { return now.UnixNano() < s.shutTill.Load() }
 
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -110,3 +110,26 @@
 		}
 	})
 }
+
+// Replays an upstream that refuses for a while.
+func TestReliable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := NewStats(SameDomain, 2, time.Time{})
+		steps := []struct {
+			after time.Duration
+			do    func()
+			want  bool
+		}{
+			{0, func() { s.Answered(time.Millisecond) }, true},
+			{0, s.Failed, false},
+			{20 * time.Second, func() {}, true},
+		}
+		for i, step := range steps {
+			step.do()
+			time.Sleep(step.after)
+			if got := s.Reliable(time.Now()); got != step.want {
+				t.Errorf("step %d: Reliable() = %v, want %v", i, got, step.want)
+			}
+		}
+	})
+}
