mesh: read the store when what a reader has does not arrive

Cause: a node believed in its domain's reader as long as its beats came. Where datagrams pass and calls do not, it knew of a change and never got it (TestNodeThatCannotGetWhatItHearsOfReads: 5 s and more).

Change: a reader whose news this node has failed to get for 1 s no longer counts; the node takes its turn and reads. It stops when it has caught up and calls pass again.

--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,11 +55,24 @@
 	self := member.Record{VM: vm, Domain: domain, Addr: addr, Gossip: addr, Started: 1}
 	dial := func(ctx context.Context, addr string) (net.Conn, error) {
 		var d net.Dialer
-		return d.DialContext(ctx, "tcp", addr)
+		c, err := d.DialContext(ctx, "tcp", addr)
+		return silentConn{c}, err
 	}
 	return New(self, l, packets, state, dial, WithSeeds(seeds), WithLog(logrus.NewEntry(log)))
 }
 
+// silenced swallows what nodes send each other over TCP.
+var silenced atomic.Bool
+
+type silentConn struct{ net.Conn }
+
+func (c silentConn) Write(p []byte) (int, error) {
+	if silenced.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
 // start runs the node until the test ends.
 func (m *Mesh) start(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -109,6 +123,49 @@
 	}
 }
 
+// Replays calls between nodes that get no answer while datagrams pass: a node
+// that hears of a change and cannot get it reads the store itself.
+func TestNodeThatCannotGetWhatItHearsOfReads(t *testing.T) {
+	states := map[string]*fakeState{"a": newFakeState(), "b": newFakeState()}
+	a := newMesh(t, "a", "d", states["a"])
+	a.start(t)
+	b := newMesh(t, "b", "d", states["b"], a.self.Addr)
+	b.start(t)
+	settled := time.Now()
+	eventually(t, "one node reads for a second", func() bool {
+		if a.Reads() == b.Reads() || len(a.domain()) == 0 || len(b.domain()) == 0 {
+			settled = time.Now()
+		}
+		return time.Since(settled) > time.Second
+	})
+	first, other := a, b
+	if b.Reads() {
+		first, other = b, a
+	}
+	silenced.Store(true)
+	t.Cleanup(func() { silenced.Store(false) })
+	batch := follow.Batch{Whole: true, Revision: 9, Changes: []follow.Change{{Name: "i-1", Raw: []byte("x")}}}
+	states[first.self.VM].Take(follow.Upstreams, batch)
+	first.Publish(follow.Upstreams, batch)
+	begun := time.Now()
+	eventually(t, "the other node reads", other.Reads)
+	if got, most := time.Since(begun), 2500*time.Millisecond; got > most {
+		t.Errorf("the other node reads after %v, want at most %v", got, most)
+	}
+	silenced.Store(false)
+	eventually(t, "one node reads again", func() bool { return !other.Reads() })
+}
+
+// eventually waits up to 5 s for the condition.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within 5 s: %s", what)
+		}
+	}
+}
+
 // Whatever bytes come, the node goes on.
 func FuzzDatagram(f *testing.F) {
 	good, err := msgpack.Marshal(&datagram{Message: &member.Message{Kind: member.Probe, From: "x", Records: []member.Record{{VM: "x", Domain: "d"}}}})
--- a/internal/mesh/share.go
+++ b/internal/mesh/share.go
@@ -32,11 +32,27 @@
 type heardBeat struct {
 	beat beat
 	at   time.Time
+	// own is what this node has known since the time since.
+	own   Revisions
+	since time.Time
+}
+
+// stuck is for how long this node has not got what the beat's sender has.
+func (h heardBeat) stuck(own Revisions, now time.Time) time.Duration {
+	if own != h.own || own.covers(h.beat.Have) {
+		return 0
+	}
+	return now.Sub(h.since)
 }
 
 func (m *Mesh) hear(b beat) {
+	own, now := m.state.Revisions(), time.Now()
 	m.mu.Lock()
-	m.beats[b.VM] = heardBeat{beat: b, at: time.Now()}
+	h := heardBeat{beat: b, at: now, own: own, since: now}
+	if old, known := m.beats[b.VM]; known && old.stuck(own, now) > 0 {
+		h.since = old.since
+	}
+	m.beats[b.VM] = h
 	m.mu.Unlock()
 	m.heard(b.Addr, b.Have)
 }
@@ -108,6 +124,7 @@
 
 // readers lists the nodes of the domain that have sent beats.
 func (m *Mesh) readers(now time.Time) []reader.Peer {
+	own := m.state.Revisions()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var list []reader.Peer
@@ -116,7 +133,9 @@
 			delete(m.beats, name)
 			continue
 		}
-		list = append(list, reader.Peer{Name: name, Silent: now.Sub(b.at), StoreAge: b.beat.StoreAge, Failing: b.beat.StoreFailing})
+		list = append(list, reader.Peer{
+			Name: name, Silent: now.Sub(b.at), StoreAge: b.beat.StoreAge, Failing: b.beat.StoreFailing, Stuck: b.stuck(own, now),
+		})
 	}
 	return list
 }
--- a/internal/mesh/types.go
+++ b/internal/mesh/types.go
@@ -38,6 +38,11 @@
 	return r.Upstreams
 }
 
+// covers tells whether a node with r lacks nothing of other.
+func (r Revisions) covers(other Revisions) bool {
+	return r.Routes >= other.Routes && r.Upstreams >= other.Upstreams
+}
+
 // versions carries the revisions on membership datagrams.
 func (r Revisions) versions() member.Versions {
 	return member.Versions{Config: r.Routes, Catalogue: r.Upstreams}
--- a/pkg/reader/reader.go
+++ b/pkg/reader/reader.go
@@ -25,6 +25,9 @@
 	// FailingAfter is how long the store may fail a reader before the next
 	// takes over: some tries, so that one lost answer changes nothing.
 	FailingAfter = 500 * time.Millisecond
+	// stuckAfter is how long a node may fail to get what a reader has before
+	// it reads itself: several round trips to the reader.
+	stuckAfter = time.Second
 )
 
 // Peer is what is known of another node of the domain that reads the store.
@@ -38,11 +41,15 @@
 	// Failing is for how long the store had failed it at that beat, 0 when
 	// the last call was answered.
 	Failing time.Duration
+	// Stuck is for how long this node has heard that the peer knows more,
+	// and got none of it.
+	Stuck time.Duration
 }
 
-// fresh tells whether the peer is heard and the store answers it.
+// fresh tells whether the peer is heard, the store answers it, and what it
+// learns arrives here.
 func (p Peer) fresh() bool {
-	return p.Silent < silence && p.Silent+p.StoreAge < staleAfter && p.Failing < FailingAfter
+	return p.Silent < silence && p.Silent+p.StoreAge < staleAfter && p.Failing < FailingAfter && p.Stuck < stuckAfter
 }
 
 const (
--- a/pkg/reader/reader_test.go
+++ b/pkg/reader/reader_test.go
@@ -45,13 +45,14 @@
 				Silent:   time.Duration(rapid.IntRange(0, 3000).Draw(t, "silent")) * time.Millisecond,
 				StoreAge: time.Duration(rapid.IntRange(0, 5000).Draw(t, "age")) * time.Millisecond,
 				Failing:  time.Duration(rapid.IntRange(0, 1000).Draw(t, "failing")) * time.Millisecond,
+				Stuck:    time.Duration(rapid.IntRange(0, 2000).Draw(t, "stuck")) * time.Millisecond,
 			})
 		}
 		if Decide("vm-0", nil, peers, time.Hour) {
 			return
 		}
 		for _, p := range peers {
-			if p.Silent < silence && p.Silent+p.StoreAge < staleAfter && p.Failing < FailingAfter && rank(p.Name) < rank("vm-0") {
+			if p.Silent < silence && p.Silent+p.StoreAge < staleAfter && p.Failing < FailingAfter && p.Stuck < stuckAfter && rank(p.Name) < rank("vm-0") {
 				return
 			}
 		}
