soak: harm the links between nodes

Nodes reach each other through a proxy for connections and datagrams: one node's links are delayed, silent, one-way or reset, or all calls between nodes while datagrams pass. The product gains listen.announce, the address that other nodes are told, as needed behind an address translation.

--- a/internal/setup/relay.go
+++ b/internal/setup/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"os"
 	"time"
@@ -36,12 +37,17 @@
 
 // RelayListen names the addresses of a node that relays.
 type RelayListen struct {
-	Caller  string `yaml:"caller" validate:"required,hostname_port"`
-	Ready   string `yaml:"ready" validate:"required,hostname_port"`
-	Inner   string `yaml:"inner" validate:"required,hostname_port"`
-	Metrics string `yaml:"metrics" validate:"omitempty,hostname_port"`
+	Caller string `yaml:"caller" validate:"required,hostname_port"`
+	Ready  string `yaml:"ready" validate:"required,hostname_port"`
+	Inner  string `yaml:"inner" validate:"required,hostname_port"`
+	// Announce is where other nodes reach Inner, if not at that address.
+	Announce string `yaml:"announce" validate:"omitempty,hostname_port"`
+	Metrics  string `yaml:"metrics" validate:"omitempty,hostname_port"`
 }
 
+// Announced is the address that other nodes are told.
+func (l RelayListen) Announced() string { return cmp.Or(l.Announce, l.Inner) }
+
 // RelayBudget bounds what upstreams receive beyond the first send of each
 // request: a share of the requests and an allowance of all nodes together, in
 // each window.
--- a/internal/setup/relay_test.go
+++ b/internal/setup/relay_test.go
@@ -35,6 +35,7 @@
 		{"unknown key", "capacity", "capasity", "capasity"},
 		{"wrong type", "memory_mb: 284", "memory_mb: much", "memory_mb"},
 		{"missing address", `caller: "127.0.0.1:1", `, "", "Caller"},
+		{"no address to announce", "listen: {", "listen: {announce: here, ", "Announce"},
 		{"no path", "ready_path: /ready\n", "", "ReadyPath"},
 		{"notice beyond the grace", "grace: 6s", "grace: 2s", "shorten"},
 		{"too little memory", "284", "1", "MemoryMB"},
@@ -47,6 +48,14 @@
 	}
 }
 
+func TestAnnounced(t *testing.T) {
+	for announce, want := range map[string]string{"": "10.0.0.1:3", "192.0.2.1:9": "192.0.2.1:9"} {
+		if got := (RelayListen{Inner: "10.0.0.1:3", Announce: announce}).Announced(); got != want {
+			t.Errorf("Announced() with %q = %s, want %s", announce, got, want)
+		}
+	}
+}
+
 func FuzzParseRelay(f *testing.F) {
 	f.Add([]byte(relayFile))
 	f.Add([]byte("listen: [1]\nbudget: {window: -1s}"))
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -105,8 +105,9 @@
 	if err != nil {
 		return fmt.Errorf("cannot listen on listen.inner %s for datagrams: %w; choose a free address of this VM", t.set.Listen.Inner, err)
 	}
+	addr := t.set.Listen.Announced()
 	self := member.Record{
-		VM: t.set.VM, Domain: t.set.FailureDomain, Addr: t.set.Listen.Inner, Gossip: t.set.Listen.Inner,
+		VM: t.set.VM, Domain: t.set.FailureDomain, Addr: addr, Gossip: addr,
 		Caller: t.set.Listen.Caller, Started: time.Now().UnixMilli(), Capacity: t.set.Capacity,
 	}
 	t.self = self
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -27,12 +27,14 @@
 	end     func()
 }
 
-// faults lists all kinds. Order matters: it is part of what a seed means.
+// faults lists all kinds. Order matters: it is part of what a seed means. New
+// kinds come last, so that --kinds plays an older seed as it was.
 var faults = []fault{
 	{"kill", killNode}, {"pause", pauseNode}, {"roll", rollNode}, {"hangup", hangUpNode},
 	{"store-link", harmStoreLink}, {"store", harmStore}, {"compact", compactStore},
 	{"server-link", harmServerLink}, {"server", harmServer}, {"crash", crashServer}, {"drain", drainServer},
 	{"config", changeConfig}, {"reshard", reshard}, {"storm", stormConfig},
+	{"link", harmLinks}, {"calls", harmCalls},
 }
 
 func (w *world) anyNode() *node { return w.nodes[w.random.IntN(len(w.nodes))] }
@@ -96,11 +98,41 @@
 
 func harmStoreLink(w *world) running {
 	n := w.anyNode()
-	s := []link{linkDelayed, linkSilent, linkOneWay, linkReset}[w.random.IntN(4)]
+	s := anyLink(w)
 	n.store.set(s)
 	return running{what: fmt.Sprintf("%s state %d", n.name, s), node: n.name, lasts: w.lasting(500*time.Millisecond, 5*time.Second), end: func() { n.store.set(linkOpen) }}
 }
 
+// harmLinks harms all that comes to a node from others.
+func harmLinks(w *world) running {
+	n := w.anyNode()
+	s := anyLink(w)
+	n.links.set(s)
+	n.links.setPackets(s)
+	return running{what: fmt.Sprintf("%s state %d", n.name, s), node: n.name, lasts: w.lasting(500*time.Millisecond, 6*time.Second), end: func() {
+		n.links.set(linkOpen)
+		n.links.setPackets(linkOpen)
+	}}
+}
+
+// harmCalls harms the calls between all nodes while their datagrams pass and
+// the store answers: what a node is told must not depend on another one.
+func harmCalls(w *world) running {
+	s := anyLink(w)
+	for _, n := range w.nodes {
+		n.links.set(s)
+	}
+	return running{what: fmt.Sprintf("all state %d", s), planned: true, lasts: w.lasting(time.Second, 6*time.Second), end: func() {
+		for _, n := range w.nodes {
+			n.links.set(linkOpen)
+		}
+	}}
+}
+
+func anyLink(w *world) link {
+	return []link{linkDelayed, linkSilent, linkOneWay, linkReset}[w.random.IntN(4)]
+}
+
 func harmStore(w *world) running {
 	t := []stand.Trouble{stand.TroubleSilent, stand.TroubleBusy, stand.TroubleReset}[w.random.IntN(3)]
 	w.store.SetTrouble(t)
@@ -114,7 +146,7 @@
 
 func harmServerLink(w *world) running {
 	s := w.anyServer()
-	l := []link{linkDelayed, linkSilent, linkOneWay, linkReset}[w.random.IntN(4)]
+	l := anyLink(w)
 	s.proxy.set(l)
 	return running{what: fmt.Sprintf("%s state %d", s.ID, l), lasts: w.lasting(300*time.Millisecond, 3*time.Second), end: func() { s.proxy.set(linkOpen) }}
 }
--- a/soak/main.go
+++ b/soak/main.go
@@ -33,12 +33,13 @@
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "how many seeds, one after the other"},
 			&cli.DurationFlag{Name: "duration", Value: 30 * time.Second, Usage: "time with faults of each seed"},
 			&cli.IntFlag{Name: "nodes", Value: 4, Usage: "number of node processes"},
+			&cli.IntFlag{Name: "kinds", Value: len(faults), Usage: "draw from the first kinds of faults only (14 for seeds found before links between nodes were harmed)"},
 			&cli.StringFlag{Name: "keep", Usage: "folder that keeps the nodes' logs"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			broken := 0
 			for i := range c.Int("seeds") {
-				o := options{program: c.String("program"), seed: c.Uint64("seed") + uint64(i), duration: c.Duration("duration"), nodes: c.Int("nodes"), keep: c.String("keep")}
+				o := options{program: c.String("program"), seed: c.Uint64("seed") + uint64(i), duration: c.Duration("duration"), nodes: c.Int("nodes"), keep: c.String("keep"), kinds: c.Int("kinds")}
 				if err := soak(ctx, o, c.Root().Writer); errors.Is(err, errBroken) {
 					broken++
 				} else if err != nil {
@@ -64,6 +65,8 @@
 	duration time.Duration
 	nodes    int
 	keep     string
+	// kinds is how many of the faults are drawn from.
+	kinds int
 }
 
 const (
@@ -132,7 +135,7 @@
 	var mu sync.Mutex
 	for time.Now().Before(end) {
 		time.Sleep(w.lasting(100*time.Millisecond, 1500*time.Millisecond))
-		f := faults[w.random.IntN(len(faults))]
+		f := faults[w.random.IntN(min(max(o.kinds, 1), len(faults)))]
 		slots <- struct{}{}
 		mu.Lock()
 		skip := busy[f.name] || nodeFault(f.name) && (busy["kill"] || busy["pause"] || busy["roll"])
--- a/soak/node.go
+++ b/soak/node.go
@@ -26,7 +26,10 @@
 	name   string
 	zone   string
 	caller string
+	// inner is where the node listens for others, and links where they
+	// reach it.
 	inner  string
+	links  *proxy
 	seeds  []string
 	readyz string
 	store  *proxy
@@ -51,13 +54,14 @@
 			return nil, err
 		}
 	}
-	return n, nil
+	n.links, err = newInnerProxy(n.inner)
+	return n, err
 }
 
 func (n *node) settings() string {
-	return fmt.Sprintf("vm: %s\nfailure_domain: %s\nregions: {a: ra, b: rb}\nlisten: {caller: %q, ready: %q, inner: %q}\n"+
+	return fmt.Sprintf("vm: %s\nfailure_domain: %s\nregions: {a: ra, b: rb}\nlisten: {caller: %q, ready: %q, inner: %q, announce: %q}\n"+
 		"ready_path: /readiness\nplatform: {url: \"http://%s\"}\npeers: [%s, %s]\nmemory_mb: 128\nbudget: {allowance: 60}\nstop: {grace: %s, notice: 1500ms}\n",
-		n.name, n.zone, n.caller, n.readyz, n.inner, n.store.addr(), n.seeds[0], n.seeds[len(n.seeds)-1], grace)
+		n.name, n.zone, n.caller, n.readyz, n.inner, n.links.addr(), n.store.addr(), n.seeds[0], n.seeds[len(n.seeds)-1], grace)
 }
 
 // start runs the program and watches for its end.
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -18,6 +20,9 @@
 	linkReset        // connections break
 )
 
+// portTries bounds the search for a port that is free for TCP and UDP.
+const portTries = 20
+
 // linkDelay is how late bytes arrive on a delayed link.
 const linkDelay = 60 * time.Millisecond
 
@@ -25,10 +30,14 @@
 type proxy struct {
 	target   string
 	listener net.Listener
+	// packets takes datagrams for the same target, if they are passed on.
+	packets *net.UDPConn
 
 	mu    sync.Mutex
 	state link
-	conns map[net.Conn]bool
+	// packetState is what happens to datagrams.
+	packetState link
+	conns       map[net.Conn]bool
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -41,6 +50,62 @@
 	return p, nil
 }
 
+// newInnerProxy passes on datagrams as well.
+func newInnerProxy(target string) (*proxy, error) {
+	for range portTries {
+		p, err := newProxy(target)
+		if err != nil {
+			return nil, err
+		}
+		at, err := net.ResolveUDPAddr("udp", p.addr())
+		if err != nil {
+			return nil, err
+		}
+		if p.packets, err = net.ListenUDP("udp", at); err == nil {
+			go p.passPackets()
+			return p, nil
+		}
+		p.close()
+	}
+	return nil, errors.New("no port is free for both TCP and UDP")
+}
+
+// passPackets passes datagrams on until the socket is closed.
+func (p *proxy) passPackets() {
+	to, err := net.ResolveUDPAddr("udp", p.target)
+	if err != nil {
+		panic(err) // an address of the soak's own
+	}
+	buffer := make([]byte, 64<<10)
+	for {
+		n, _, err := p.packets.ReadFromUDP(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		p.mu.Lock()
+		state := p.packetState
+		p.mu.Unlock()
+		data := slices.Clone(buffer[:n])
+		switch state {
+		case linkOpen:
+			_, _ = p.packets.WriteToUDP(data, to)
+		case linkDelayed:
+			time.AfterFunc(linkDelay, func() { _, _ = p.packets.WriteToUDP(data, to) })
+		case linkSilent, linkOneWay, linkReset:
+		}
+	}
+}
+
+// setPackets changes what happens to datagrams.
+func (p *proxy) setPackets(s link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.packetState = s
+}
+
 func (p *proxy) addr() string { return p.listener.Addr().String() }
 
 // set changes the state; a reset breaks all open connections.
@@ -63,6 +128,9 @@
 
 func (p *proxy) close() {
 	_ = p.listener.Close()
+	if p.packets != nil {
+		_ = p.packets.Close()
+	}
 	p.set(linkReset)
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -17,7 +17,7 @@
 	if out, err := exec.Command("go", "build", "-o", program, "../cmd/geraniumstep").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	o := options{program: program, seed: 7, duration: 10 * time.Second, nodes: 3}
+	o := options{program: program, seed: 7, duration: 10 * time.Second, nodes: 3, kinds: len(faults)}
 	if err := soak(context.Background(), o, t.Output()); err != nil {
 		t.Errorf("soak of seed %d = %v, want nil", o.seed, err)
 	}
--- a/soak/world.go
+++ b/soak/world.go
@@ -168,7 +168,7 @@
 		}
 		w.nodes = append(w.nodes, node)
 		if len(seeds) < 3 {
-			seeds = append(seeds, node.inner)
+			seeds = append(seeds, node.links.addr())
 		}
 	}
 	for _, node := range w.nodes {
@@ -198,6 +198,7 @@
 func (w *world) close() {
 	for _, n := range w.nodes {
 		n.kill()
+		n.links.close()
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
