place: admission reckons with reliable upstreams only

A server that refuses has a short queue, so admission expected an answer from it and rejected nothing; two thirds of the searches failed for want of legs after most of their work was done.

Change: the expected time of a service is that of its reliable upstreams, if it has any; what they cannot serve in time is rejected at once.

Test: TestExpectedReckonsWithReliableUpstreams.

--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -268,9 +268,5 @@
 	if !ok {
 		return 0, false
 	}
-	best := p.stats[0].Expected(now)
-	for _, s := range p.stats[1:] {
-		best = min(best, s.Expected(now))
-	}
-	return best, true
+	return place.Expected(p.stats, now), true
 }
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -243,3 +243,16 @@
 	}
 	return best
 }
+
+// Expected is the shortest time to an answer at one of the candidates that are
+// reliable, or at any if none is. There must be a candidate.
+func Expected(candidates []*Stats, now time.Time) time.Duration {
+	best, reliable := time.Duration(0), false
+	for i, s := range candidates {
+		ok, expected := s.Reliable(now), s.Expected(now)
+		if i == 0 || ok && !reliable || ok == reliable && expected < best {
+			best, reliable = expected, ok || reliable
+		}
+	}
+	return best
+}
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -133,3 +133,37 @@
 		}
 	})
 }
+
+// Replays replicas of which one refuses and the other has a queue: admission has
+// to reckon with the queue, or the requests that are refused crowd out all.
+func TestExpectedReckonsWithReliableUpstreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Now()
+		stats := func(inFlight int, failures int) *Stats {
+			s := NewStats(SameDomain, 1, time.Time{})
+			for range inFlight {
+				s.Begin()
+			}
+			for range failures {
+				s.Failed()
+			}
+			return s
+		}
+		idle, queue := firstLatency, 10*firstLatency
+		tests := []struct {
+			name  string
+			stats []*Stats
+			want  time.Duration
+		}{
+			{"all reliable", []*Stats{stats(10, 0), stats(0, 0)}, idle},
+			{"one refuses", []*Stats{stats(0, 3), stats(10, 0)}, queue},
+			{"one refuses, other order", []*Stats{stats(10, 0), stats(0, 3)}, queue},
+			{"all refuse", []*Stats{stats(10, 3), stats(0, 3)}, idle},
+		}
+		for _, tt := range tests {
+			if got := Expected(tt.stats, now); got < tt.want || got > tt.want+firstLatency {
+				t.Errorf("%s: Expected() = %v, want about %v", tt.name, got, tt.want)
+			}
+		}
+	})
+}
