admit: reject what the queues cannot serve in time, and nothing for idleness

The allowance also protected upstreams that are slow but idle.

Change: the estimate must fit the time left; an upstream that has no request of the node counts as free, since rejecting would gain nothing and only a request shows that it is fast again. The case "a little late is still tried" of TestJudge encoded the allowance; it is replaced by the two sides of the new bound, and by cases of Expected for slow upstreams that are idle and in use.

--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -32,13 +32,8 @@
 func (Admit) decision()  {}
 func (Reject) decision() {}
 
-const (
-	// slack is by how much an estimate may exceed the time left: estimates
-	// of a queue are rough, and an idle upstream is worse than a late answer.
-	slack = 1.5
-	// minRetry is the shortest time that a client is told to stay away.
-	minRetry = 100 * time.Millisecond
-)
+// minRetry is the shortest time that a client is told to stay away.
+const minRetry = 100 * time.Millisecond
 
 // Judge decides on a request whose legs are expected to take the given times,
 // of which least must be served within left.
@@ -52,7 +47,7 @@
 	sorted := slices.Clone(expected)
 	slices.Sort(sorted)
 	needed := sorted[least-1]
-	if float64(needed) <= slack*float64(left) {
+	if needed <= left {
 		return Admit{}
 	}
 	return Reject{RetryAfter: max(needed-left, minRetry)}
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -245,11 +245,16 @@
 }
 
 // Expected is the shortest time to an answer at one of the candidates that are
-// reliable, or at any if none is. There must be a candidate.
+// reliable, or at any if none is. One that has no request of this node counts as
+// free, even if it was slow: a rejection would gain nothing, and only a request
+// can show that it is fast again. There must be a candidate.
 func Expected(candidates []*Stats, now time.Time) time.Duration {
 	best, reliable := time.Duration(0), false
 	for i, s := range candidates {
 		ok, expected := s.Reliable(now), s.Expected(now)
+		if s.InFlight() == 0 {
+			expected = 0
+		}
 		if i == 0 || ok && !reliable || ok == reliable && expected < best {
 			best, reliable = expected, ok || reliable
 		}
