tasks: one group of goroutines that starts none once its owner waits

Cause: the relay and the mesh waited for their goroutines with a WaitGroup that others may still add to: a gather that another node's call begins while the engine closes, which the package forbids and may answer with a panic.

Change: internal/node's own type for this moves to internal/tasks and serves all three. A run on a closed engine ends at once. Test: TestNothingStartsAfterWait.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -14,6 +14,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"geraniumstep.org/geraniumstep/internal/inner"
+	"geraniumstep.org/geraniumstep/internal/tasks"
 	"geraniumstep.org/geraniumstep/pkg/member"
 )
 
@@ -78,7 +79,7 @@
 	saidFailing bool
 	pulling     [2]atomic.Bool
 	syncing     atomic.Bool
-	tasks       sync.WaitGroup
+	tasks       tasks.Group
 	work        context.Context
 	stop        context.CancelFunc
 }
@@ -259,9 +260,6 @@
 
 // spawn runs a call in the background until the mesh is closed.
 func (m *Mesh) spawn(f func(ctx context.Context)) {
-	if m.work.Err() != nil {
-		return
-	}
 	m.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(m.work, callTimeout)
 		defer cancel()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"geraniumstep.org/geraniumstep/internal/front"
 	"geraniumstep.org/geraniumstep/internal/inner"
 	"geraniumstep.org/geraniumstep/internal/setup"
+	"geraniumstep.org/geraniumstep/internal/tasks"
 	"geraniumstep.org/geraniumstep/pkg/budget"
 	"geraniumstep.org/geraniumstep/pkg/config"
 	"geraniumstep.org/geraniumstep/pkg/gate"
@@ -84,7 +85,7 @@
 	work   context.Context
 	stop   context.CancelFunc
 	loaded chan struct{}
-	tasks  tasks
+	tasks  tasks.Group
 	secure secure
 }
 
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -27,7 +27,7 @@
 // graceful stop.
 func (n *Node) Run(ctx context.Context) error {
 	work := n.work
-	defer n.tasks.wait()
+	defer n.tasks.Wait()
 	defer n.peers.Close()
 	defer n.stop()
 	var group run.Group
@@ -56,7 +56,7 @@
 
 // goServe runs f in a goroutine that Run waits for. Once the node has stopped
 // it does nothing.
-func (n *Node) goServe(f func()) { n.tasks.start(f) }
+func (n *Node) goServe(f func()) { n.tasks.Go(f) }
 
 // serveCallers serves until the node's work ends; a graceful shutdown of the
 // server alone does not end the node.
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -22,6 +22,7 @@
 
 	"geraniumstep.org/geraniumstep/internal/link"
 	"geraniumstep.org/geraniumstep/internal/talk"
+	"geraniumstep.org/geraniumstep/internal/tasks"
 	"geraniumstep.org/geraniumstep/pkg/extra"
 	"geraniumstep.org/geraniumstep/pkg/fleet"
 	"geraniumstep.org/geraniumstep/pkg/gate"
@@ -56,7 +57,7 @@
 
 	work  context.Context
 	stop  context.CancelFunc
-	tasks sync.WaitGroup
+	tasks tasks.Group
 }
 
 // directory is an immutable view of the upstreams that may get new work.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -100,6 +100,9 @@
 		case <-ctx.Done():
 			r.abandon()
 			return 0, false
+		case <-r.engine.work.Done():
+			r.abandon()
+			return 0, false
 		}
 	}
 	r.verdict = outcome.String()
@@ -169,6 +172,7 @@
 	}
 	r.engine.metrics.sends.WithLabelValues(s.Reason.String()).Inc()
 	a.upstream.stats.Begin()
+	// A closed engine starts nothing; execute ends then.
 	r.engine.tasks.Go(func() {
 		defer a.upstream.stats.End()
 		d := r.try(a)
