relay: search the gather-and-merge path with a model of three nodes

Three engines gather for each other over connections in memory and in simulated time. A script drawn by rapid decides what each upstream does (answers late, sheds, fails, hangs, cuts, crosses, garbles) and what becomes of each call between nodes (unsent, broken, reply lost, the peer restarted). Checked: each part once and with its own record, the greatest merged, true coverage, refusals that have not run, attempts, the budget of each shard, the time.

Planted in a peer's reply and found: attempts not told, a part counted twice, a part lost from the body, an untrue not-run.

--- /dev/null
+++ b/internal/relay/model_test.go
@@ -0,0 +1,407 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"geraniumstep.org/geraniumstep/internal/inner"
+	"geraniumstep.org/geraniumstep/internal/talk"
+	"geraniumstep.org/geraniumstep/internal/tasks"
+	"geraniumstep.org/geraniumstep/pkg/extra"
+	"geraniumstep.org/geraniumstep/pkg/fleet"
+	"geraniumstep.org/geraniumstep/pkg/gather"
+	"geraniumstep.org/geraniumstep/pkg/vhost"
+)
+
+// A model of three nodes in three regions that gather for each other, over
+// connections in memory and in simulated time. A script draws what upstreams and
+// calls between nodes do; the model notes what really ran and checks each answer.
+
+const (
+	modelShards    = 6
+	modelAttempts  = 2 // as gatherRoute has it
+	modelLeast     = 4
+	modelRatio     = 0.2
+	modelAllowance = 3
+)
+
+// upstreamDoes is what an upstream does with one request.
+type upstreamDoes int
+
+const (
+	upAnswers upstreamDoes = iota
+	upSheds
+	upFails
+	upHangs
+	upCuts
+	upCrosses
+	upGarbles
+	upKinds
+)
+
+// callDoes is what becomes of one call between nodes.
+type callDoes int
+
+const (
+	callWorks callDoes = iota
+	callUnsent
+	callBreaks    // after the peer has got it
+	callLosesEnd  // the peer's reply is lost
+	callRestarted // the peer's process restarts meanwhile
+	callKinds
+)
+
+// step is one decision of a script: what is done, and after which delay.
+type step struct {
+	does  int
+	delay time.Duration
+}
+
+// script is what a run of the model does; the steps are used in turn.
+type script struct {
+	domains  [modelShards][2]int
+	upstream []step
+	call     []step
+	searches []time.Duration
+}
+
+func drawScript(t *rapid.T) script {
+	var s script
+	for i := range s.domains {
+		first := rapid.IntRange(0, 2).Draw(t, "domain")
+		s.domains[i] = [2]int{first, (first + rapid.IntRange(1, 2).Draw(t, "other")) % 3}
+	}
+	steps := func(label string, kinds int, slowest int) []step {
+		return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+			does := max(rapid.IntRange(-kinds, kinds-1).Draw(t, "does"), 0) // mostly nothing
+			return step{does, time.Duration(rapid.IntRange(0, slowest).Draw(t, "ms")) * time.Millisecond}
+		}), 1, 24).Draw(t, label)
+	}
+	s.upstream, s.call = steps("upstream", int(upKinds), 300), steps("call", int(callKinds), 100)
+	for _, ms := range rapid.SliceOfN(rapid.IntRange(0, 400), 1, 6).Draw(t, "searches") {
+		s.searches = append(s.searches, time.Duration(ms)*time.Millisecond)
+	}
+	return s
+}
+
+// model plays a script.
+type model struct {
+	script script
+	// plant changes a peer's reply, as a bug would.
+	plant func(*GatherReply)
+
+	mu       sync.Mutex
+	entries  []fleet.Entry
+	engines  [3]*Engine
+	old      []*Engine
+	sets     [3]*gather.Set
+	next     int
+	nextCall int
+	arrivals map[string]map[string]int // by request and shard
+	runs     map[string]int            // by request
+	records  map[string]string         // by upstream
+	shardOf  map[string]string
+	served   tasks.Group
+}
+
+func newModel(s script, plant func(*GatherReply)) *model {
+	m := &model{script: s, plant: plant, arrivals: make(map[string]map[string]int), runs: make(map[string]int), records: make(map[string]string), shardOf: make(map[string]string)}
+	for i, domains := range s.domains {
+		for k, d := range domains {
+			id, shard := fmt.Sprintf("up-%d-%d", i, k), fmt.Sprintf("shard-%d", i)
+			m.records[id], m.shardOf[id] = fmt.Sprintf("%-16s", id), shard
+			m.entries = append(m.entries, fleet.NewEntry(id, shard, id, fleet.WithSlots(2), fleet.WithStarted(1), fleet.WithDomain(domainName(d))))
+		}
+	}
+	var nodes []gather.Node
+	for i := range m.engines {
+		nodes = append(nodes, gather.Node{VM: vmName(i), Addr: vmName(i), Domain: domainName(i), Region: regionName(i), Capacity: 1})
+	}
+	for i := range m.engines {
+		m.sets[i] = gather.New(nodes[i], append(append([]gather.Node(nil), nodes[:i]...), nodes[i+1:]...))
+		m.start(i)
+	}
+	return m
+}
+
+func vmName(i int) string     { return fmt.Sprintf("vm-%d", i) }
+func domainName(i int) string { return fmt.Sprintf("domain-%d", i) }
+func regionName(i int) string { return fmt.Sprintf("region-%d", i) }
+
+// start starts node i, anew if it ran before. The lock is free.
+func (m *model) start(i int) {
+	var shards []string
+	for k := range modelShards {
+		shards = append(shards, fmt.Sprintf("shard-%d", k))
+	}
+	regions := make(map[string]string)
+	for k := range m.engines {
+		regions[domainName(k)] = regionName(k)
+	}
+	e := New(testDialect{}, WithDial(m.dial), WithPlace(domainName(i), regions),
+		WithBudget(extra.WithRatio(modelRatio), extra.WithAllowance(modelAllowance)))
+	e.log.Logger.SetOutput(io.Discard)
+	e.SetNodes(len(m.engines), len(m.engines))
+	e.SetRoutes(vhost.New(1, []*vhost.Route{gatherRoute(shards, float64(modelLeast)/modelShards)}))
+	e.SetUpstreams(m.entries)
+	e.SetPeers(m.sets[i], m.callPeer)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.engines[i] != nil {
+		m.engines[i].stop()
+		m.old = append(m.old, m.engines[i])
+	}
+	m.engines[i] = e
+}
+
+func (m *model) engine(vm string) (*Engine, int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i := range m.engines {
+		if vmName(i) == vm {
+			return m.engines[i], i
+		}
+	}
+	return nil, 0
+}
+
+// callPeer stands in for the connection between nodes.
+func (m *model) callPeer(ctx context.Context, vm, method string, args, reply any) error {
+	e, i := m.engine(vm)
+	if method == GatherService+".Cancel" {
+		return e.Gatherer().Cancel(args.(*CancelCall), &None{})
+	}
+	m.mu.Lock()
+	s := m.script.call[m.nextCall%len(m.script.call)]
+	m.nextCall++
+	m.mu.Unlock()
+	if callDoes(s.does) == callUnsent {
+		return inner.ErrUnsent
+	}
+	answer := make(chan *GatherReply, 1)
+	started := m.served.Go(func() {
+		time.Sleep(s.delay)
+		r := new(GatherReply)
+		_ = e.Gatherer().Gather(args.(*GatherCall), r)
+		answer <- r
+	})
+	if !started {
+		return inner.ErrUnsent
+	}
+	received := answer
+	var broken <-chan time.Time
+	switch callDoes(s.does) {
+	case callBreaks, callRestarted:
+		broken = time.After(s.delay + 5*time.Millisecond)
+	case callLosesEnd:
+		received = nil
+	}
+	select {
+	case r := <-received:
+		if m.plant != nil {
+			m.plant(r)
+		}
+		*reply.(*GatherReply) = *r
+		return nil
+	case <-broken:
+		if callDoes(s.does) == callRestarted {
+			m.start(i)
+		}
+		return errors.New("connection broke")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// dial connects to the upstream whose id is the address.
+func (m *model) dial(_ context.Context, id string) (net.Conn, error) {
+	near, far := net.Pipe()
+	started := m.served.Go(func() {
+		defer far.Close()
+		for r := bufio.NewReader(far); m.serveOne(id, far, r); {
+		}
+	})
+	if !started {
+		return nil, errors.New("the model has ended")
+	}
+	return near, nil
+}
+
+// serveOne serves one request and tells whether the connection goes on.
+func (m *model) serveOne(id string, c net.Conn, r *bufio.Reader) bool {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return false
+	}
+	request := req.Header.Get("Id")
+	m.mu.Lock()
+	s := m.script.upstream[m.next%len(m.script.upstream)]
+	m.next++
+	if m.arrivals[request] == nil {
+		m.arrivals[request] = make(map[string]int)
+	}
+	m.arrivals[request][m.shardOf[id]]++
+	does := upstreamDoes(s.does)
+	if does != upSheds {
+		m.runs[request]++
+	}
+	m.mu.Unlock()
+	time.Sleep(s.delay)
+	switch does {
+	case upSheds:
+		return m.write(c, 503, "Not-Run: 1\r\n", "")
+	case upFails:
+		return m.write(c, 500, "Proof: "+id+"."+request+"\r\n", "failed")
+	case upHangs:
+		_, _ = r.ReadByte()
+		return false
+	case upCuts:
+		return false
+	case upCrosses:
+		return m.write(c, 200, "Id: other\r\nProof: "+id+".other\r\n", m.records[id])
+	case upGarbles:
+		_, _ = io.WriteString(c, "no answer")
+		return false
+	}
+	return m.write(c, 200, "Id: "+request+"\r\nProof: "+id+"."+request+"\r\n", m.records[id])
+}
+
+func (m *model) write(c net.Conn, status int, head, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d x\r\n%sContent-Length: %d\r\n\r\n%s", status, head, len(body), body)
+	return err == nil
+}
+
+// play runs the script and lists what is wrong.
+func (m *model) play() (problems []string) {
+	var mu sync.Mutex
+	answers := make(map[string]talk.Answer)
+	var callers sync.WaitGroup
+	for i, at := range m.script.searches {
+		callers.Go(func() {
+			time.Sleep(at)
+			req, begun := request("search", fmt.Sprintf("r-%d", i)), time.Now()
+			answer := m.engines[0].Do(context.Background(), req)
+			mu.Lock()
+			defer mu.Unlock()
+			answers[req.ID] = answer
+			if took := time.Since(begun); took > req.Remaining {
+				problems = append(problems, fmt.Sprintf("%s took %v", req.ID, took))
+			}
+		})
+	}
+	callers.Wait()
+	for _, e := range append(m.engines[:], m.old...) {
+		e.Close()
+	}
+	m.served.Wait()
+	for id, answer := range answers {
+		problems = append(problems, m.check(id, answer)...)
+	}
+	return append(problems, m.checkArrivals()...)
+}
+
+// check holds an answer against what ran.
+func (m *model) check(id string, answer talk.Answer) (problems []string) {
+	switch a := answer.(type) {
+	case talk.Refused:
+		if m.runs[id] > 0 {
+			problems = append(problems, fmt.Sprintf("%s was refused and ran %d times", id, m.runs[id]))
+		}
+	case talk.Merged:
+		var records []string
+		shards := make(map[string]bool)
+		for _, p := range a.Proofs {
+			up, request, _ := strings.Cut(p, ".")
+			if request != id || shards[m.shardOf[up]] {
+				problems = append(problems, fmt.Sprintf("%s: proofs %v", id, a.Proofs))
+			}
+			shards[m.shardOf[up]] = true
+			records = append(records, m.records[up])
+		}
+		sort.Sort(sort.Reverse(sort.StringSlice(records)))
+		if want := strings.Join(records[:min(len(records), 5)], ""); string(a.Body) != want {
+			problems = append(problems, fmt.Sprintf("%s: body %q of proofs %v", id, a.Body, a.Proofs))
+		}
+		if len(a.Proofs)+a.Missing != modelShards || len(a.Proofs) < modelLeast {
+			problems = append(problems, fmt.Sprintf("%s: %d parts and %d missing", id, len(a.Proofs), a.Missing))
+		}
+	case talk.Unknown:
+	default:
+		problems = append(problems, fmt.Sprintf("%s: %s", id, talk.Name(answer)))
+	}
+	return problems
+}
+
+// checkArrivals holds what reached the upstreams of each shard against attempts
+// and budget.
+func (m *model) checkArrivals() (problems []string) {
+	firsts, extras := make(map[string]int), make(map[string]int)
+	for id, shards := range m.arrivals {
+		for shard, n := range shards {
+			firsts[shard]++
+			extras[shard] += n - 1
+			if n > modelAttempts {
+				problems = append(problems, fmt.Sprintf("%s reached %d upstreams of %s", id, n, shard))
+			}
+		}
+	}
+	for shard, n := range extras {
+		if most := modelRatio*float64(firsts[shard]) + modelAllowance; float64(n) > most {
+			problems = append(problems, fmt.Sprintf("%s: %d extra arrivals beside %d", shard, n, firsts[shard]))
+		}
+	}
+	return problems
+}
+
+// playScript plays a script in simulated time.
+func playScript(t *testing.T, s script, plant func(*GatherReply)) (problems []string) {
+	synctest.Test(t, func(*testing.T) { problems = newModel(s, plant).play() })
+	return problems
+}
+
+// Searches for a script that breaks a promise of the gather-and-merge path.
+func TestGatherAndMergeModel(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		if problems := playScript(t, drawScript(rt), nil); len(problems) > 0 {
+			rt.Fatalf("%s", strings.Join(problems, "\n"))
+		}
+	})
+}
+
+// The search has to find bugs that are planted in a peer's reply.
+func TestGatherAndMergeModelFindsPlantedBugs(t *testing.T) {
+	const tries = 400
+	for name, plant := range map[string]func(*GatherReply){
+		"upstreams that were reached are not told": func(r *GatherReply) { clear(r.Reached) },
+		"a part counts twice": func(r *GatherReply) {
+			if len(r.Legs) > 0 {
+				r.Legs, r.Proofs = append(r.Legs, r.Legs[0]), append(r.Proofs, r.Proofs[0])
+			}
+		},
+		"a part is lost from the body": func(r *GatherReply) { r.Body = r.Body[:max(len(r.Body)-16, 0)] },
+		"what ran is said not to have": func(r *GatherReply) { *r = GatherReply{NotRun: true} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			scripts := rapid.Custom(drawScript)
+			for seed := range tries {
+				if len(playScript(t, scripts.Example(seed), plant)) > 0 {
+					return
+				}
+			}
+			t.Errorf("the search did not find it in %d scripts", tries)
+		})
+	}
+}
