--- a/internal/api/session_test.go
+++ b/internal/api/session_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/goleak"
 
 	"geraniumstep.org/geraniumstep/internal/api"
+	"geraniumstep.org/geraniumstep/internal/confs"
 	"geraniumstep.org/geraniumstep/internal/node"
 	"geraniumstep.org/geraniumstep/internal/platf"
 	"geraniumstep.org/geraniumstep/internal/setup"
@@ -63,7 +64,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.platform.Write(node.CatalogueKey, value)
+	s.platform.Write(confs.CatalogueKey, value)
 	s.start()
 	return s
 }
--- a/internal/node/compact.go
+++ b/internal/confs/compact.go
@@ -1,4 +1,4 @@
-package node
+package confs
 
 import (
 	"context"
@@ -26,9 +26,9 @@
 }
 
 // loadSnapshot starts from the newest stored snapshot, if there is one.
-func (s *syncer) loadSnapshot(ctx context.Context) error {
-	head, _, err := s.head(ctx)
-	if errors.Is(err, store.ErrNotFound) || err == nil && head.Revision <= s.node.Config().Revision() {
+func (k *Keeper) loadSnapshot(ctx context.Context) error {
+	head, _, err := k.head(ctx)
+	if errors.Is(err, store.ErrNotFound) || err == nil && head.Revision <= k.Config().Revision() {
 		return nil
 	}
 	if err != nil {
@@ -36,7 +36,7 @@
 	}
 	var data []byte
 	for part := range head.Parts {
-		o, err := s.node.store.Get(ctx, partKey(head.Revision, part))
+		o, err := k.store.Get(ctx, partKey(head.Revision, part))
 		if err != nil {
 			return err
 		}
@@ -46,13 +46,13 @@
 	if err := json.Unmarshal(data, &snap); err != nil {
 		return fmt.Errorf("snapshot %d is not readable: %w", head.Revision, err)
 	}
-	s.snapshot.Store(head.Revision)
-	return s.node.conf.Restore(snap)
+	k.snapshot.Store(head.Revision)
+	return k.conf.Restore(snap)
 }
 
-func (s *syncer) head(ctx context.Context) (snapshotHead, uint64, error) {
+func (k *Keeper) head(ctx context.Context) (snapshotHead, uint64, error) {
 	var head snapshotHead
-	o, err := s.node.store.Get(ctx, snapshotKey)
+	o, err := k.store.Get(ctx, snapshotKey)
 	if err != nil {
 		return head, store.Absent, err
 	}
@@ -62,31 +62,31 @@
 
 // compact stores a snapshot when enough changes have passed and this node is
 // the one to do it.
-func (s *syncer) compact(ctx context.Context) {
-	state := s.node.Config()
-	if state.Revision() < s.snapshot.Load()+compactEvery || !s.compacts() {
+func (k *Keeper) compact(ctx context.Context) {
+	state := k.Config()
+	if state.Revision() < k.snapshot.Load()+compactEvery || !k.compacts() {
 		return
 	}
-	if err := s.writeSnapshot(ctx, state); err != nil {
-		s.node.log.Warnf("config: snapshot %d was not stored: %v.", state.Revision(), err)
+	if err := k.writeSnapshot(ctx, state); err != nil {
+		k.log.Warnf("config: snapshot %d was not stored: %v.", state.Revision(), err)
 		return
 	}
-	s.snapshot.Store(state.Revision())
-	s.node.log.Infof("config: stored snapshot %d.", state.Revision())
+	k.snapshot.Store(state.Revision())
+	k.log.Infof("config: stored snapshot %d.", state.Revision())
 }
 
-func (s *syncer) compacts() bool {
+func (k *Keeper) compacts() bool {
 	var names []string
-	for _, r := range s.node.view.Load().live() {
+	for _, r := range k.node.View().Live() {
 		names = append(names, r.VM)
 	}
-	return route.Owner("compact", names) == s.node.set.VM
+	return route.Owner("compact", names) == k.self.VM
 }
 
 // writeSnapshot stores the parts and then the head that names them, unless a
 // newer head is there.
-func (s *syncer) writeSnapshot(ctx context.Context, state *config.State) error {
-	head, version, err := s.head(ctx)
+func (k *Keeper) writeSnapshot(ctx context.Context, state *config.State) error {
+	head, version, err := k.head(ctx)
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return err
 	}
@@ -100,7 +100,7 @@
 	parts := 0
 	for ; len(data) > 0; parts++ {
 		size := min(len(data), partBytes)
-		_, err := s.node.store.Put(ctx, partKey(state.Revision(), parts), data[:size], store.Absent)
+		_, err := k.store.Put(ctx, partKey(state.Revision(), parts), data[:size], store.Absent)
 		if err != nil && !errors.Is(err, store.ErrConflict) {
 			return err
 		}
@@ -110,6 +110,6 @@
 	if err != nil {
 		return err
 	}
-	_, err = s.node.store.Put(ctx, snapshotKey, value, version)
+	_, err = k.store.Put(ctx, snapshotKey, value, version)
 	return err
 }
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"geraniumstep.org/geraniumstep/internal/api"
+	"geraniumstep.org/geraniumstep/internal/confs"
 	"geraniumstep.org/geraniumstep/internal/node"
 	"geraniumstep.org/geraniumstep/internal/platf"
 	"geraniumstep.org/geraniumstep/internal/setup"
@@ -158,7 +159,7 @@
 	if err != nil {
 		panic("demo: the catalogue cannot be encoded: " + err.Error())
 	}
-	f.platform.Write(node.CatalogueKey, value)
+	f.platform.Write(confs.CatalogueKey, value)
 }
 
 // configure stores the templates and workspaces.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -14,6 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"geraniumstep.org/geraniumstep/internal/tasks"
 	"geraniumstep.org/geraniumstep/pkg/fleet"
 	"geraniumstep.org/geraniumstep/pkg/vhost"
 )
@@ -162,10 +163,10 @@
 	for ctx.Err() == nil {
 		if !f.active() {
 			f.pause()
-			sleep(ctx, idlePause)
+			tasks.Sleep(ctx, idlePause)
 			continue
 		}
-		sleep(ctx, f.once(ctx))
+		tasks.Sleep(ctx, f.once(ctx))
 	}
 	return nil
 }
@@ -239,15 +240,3 @@
 	f.lost = false
 	f.log.WithFields(logrus.Fields{"topic": f.topic.String(), "revision": revision}).Info("follow: regained the store.")
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/node/deps.go
+++ b/internal/node/deps.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// backoffFirst and backoffMost bound the delay before a retry.
-	backoffFirst = 10 * time.Millisecond
-	backoffMost  = 250 * time.Millisecond
 	// urgentReserve is the share of the hedge budget that less urgent work
 	// leaves alone.
 	urgentReserve = 0.5
@@ -66,7 +63,7 @@
 
 // Backoff doubles from one retry to the next, with jitter.
 func (run *searchRun) Backoff(retry int) time.Duration {
-	return run.node.backoff(retry)
+	return run.node.random.Backoff(retry)
 }
 
 // Judge asks the node's crash records.
@@ -81,14 +78,6 @@
 // Succeeded tells the node's crash records.
 func (run *searchRun) Succeeded(f poison.Fingerprint) { run.node.tracker.Succeeded(f) }
 
-func (n *Node) backoff(retry int) time.Duration {
-	d := backoffMost
-	if retry < 5 {
-		d = min(backoffFirst<<retry, backoffMost)
-	}
-	return n.random.jitter(d)
-}
-
 // service is a kind of work whose latency is followed.
 type service struct {
 	archive  string
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -23,7 +23,7 @@
 	if n.set.Routing.Mode != modeFront {
 		return n.front.Do(ctx, sub)
 	}
-	owner, ok := n.view.Load().front(u)
+	owner, ok := n.view.Load().Front(u)
 	switch {
 	case !ok:
 		return inner.SubReply{Cause: search.CauseBroken, Unsent: true}
@@ -137,7 +137,7 @@
 
 // tellAll calls a method of all live members and does not wait for them.
 func (n *Node) tellAll(ctx context.Context, method string, args any) {
-	for _, r := range n.view.Load().live() {
+	for _, r := range n.view.Load().Live() {
 		if r.VM == n.set.VM {
 			continue
 		}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"geraniumstep.org/geraniumstep/internal/inner"
+	"geraniumstep.org/geraniumstep/internal/tasks"
 	"geraniumstep.org/geraniumstep/pkg/member"
 	"geraniumstep.org/geraniumstep/pkg/store"
 )
@@ -45,7 +46,7 @@
 		Caller:  n.Addr(),
 		Started: n.Started(),
 	}
-	source := rand.New(rand.NewPCG(n.set.Seed, n.random.uint64()))
+	source := rand.New(rand.NewPCG(n.set.Seed, n.random.Uint64()))
 	return &members{node: n, tracker: member.New(self, source)}
 }
 
@@ -64,7 +65,7 @@
 // step feeds one event to the state machine and carries out its actions.
 func (m *members) step(ev member.Event) {
 	m.mu.Lock()
-	m.tracker.SetVersions(m.node.versions())
+	m.tracker.SetVersions(m.node.confs.Versions())
 	actions := append([]member.Action(nil), m.tracker.Step(ev)...)
 	m.mu.Unlock()
 	changed := false
@@ -77,7 +78,7 @@
 		case member.Changed:
 			changed = true
 		case member.Heard:
-			m.node.sync.heard(a)
+			m.node.confs.Heard(a)
 		}
 	}
 	if changed {
@@ -171,10 +172,8 @@
 	v := m.node.view.Load()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for domain, cut := range v.cut {
-		if cut == m.tracker.Reachable(domain) {
-			return true
-		}
+	if v.Differs(m.tracker.Reachable) {
+		return true
 	}
 	stale := false
 	m.node.shunned.Range(func(addr, _ any) bool {
@@ -221,7 +220,7 @@
 			fresh = append(fresh, r.Addr)
 		}
 	}
-	for _, addr := range m.node.random.pick(fresh, 3) {
+	for _, addr := range m.node.random.Pick(fresh, 3) {
 		ctx, cancel := context.WithTimeout(context.Background(), viewsTimeout)
 		err := m.exchangeNow(ctx, addr)
 		cancel()
@@ -230,3 +229,18 @@
 		}
 	}
 }
+
+// followList reads the platform's list of VMs while this node is a watcher.
+func (m *members) followList(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if m.node.confs.Watching() {
+			vms, err := m.node.store.VMs(ctx)
+			if err == nil {
+				m.step(member.Healthy{})
+				m.listed(vms)
+			}
+		}
+		tasks.Sleep(ctx, m.node.random.Jitter(vmListInterval))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/inside.go
@@ -0,0 +1,33 @@
+package node
+
+import (
+	"context"
+
+	"geraniumstep.org/geraniumstep/internal/holds"
+	"geraniumstep.org/geraniumstep/internal/inner"
+	"geraniumstep.org/geraniumstep/internal/roster"
+	"geraniumstep.org/geraniumstep/internal/wire"
+	"geraniumstep.org/geraniumstep/pkg/dedup"
+)
+
+// inside is the node as the packages that it is made of see it. It implements
+// confs.Node and holds.Node.
+type inside struct{ *Node }
+
+func (n inside) View() *roster.View { return n.view.Load() }
+
+func (n inside) Call(ctx context.Context, addr, method string, args, reply any) error {
+	return n.peers.Call(ctx, addr, method, args, reply)
+}
+
+func (n inside) TellAll(ctx context.Context, method string, args any) { n.tellAll(ctx, method, args) }
+
+func (n inside) Go(f func()) { n.goServe(f) }
+
+func (n inside) NewJob(args *inner.Submit, key dedup.Key) (holds.Job, *wire.Problem) {
+	j, p := n.newJob(args, key)
+	if p != nil {
+		return nil, p
+	}
+	return j, nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,8 +21,12 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"geraniumstep.org/geraniumstep/internal/chance"
+	"geraniumstep.org/geraniumstep/internal/confs"
 	"geraniumstep.org/geraniumstep/internal/front"
+	"geraniumstep.org/geraniumstep/internal/holds"
 	"geraniumstep.org/geraniumstep/internal/inner"
+	"geraniumstep.org/geraniumstep/internal/roster"
 	"geraniumstep.org/geraniumstep/internal/setup"
 	"geraniumstep.org/geraniumstep/internal/tasks"
 	"geraniumstep.org/geraniumstep/pkg/budget"
@@ -30,7 +34,6 @@
 	"geraniumstep.org/geraniumstep/pkg/gate"
 	"geraniumstep.org/geraniumstep/pkg/layout"
 	"geraniumstep.org/geraniumstep/pkg/life"
-	"geraniumstep.org/geraniumstep/pkg/member"
 	"geraniumstep.org/geraniumstep/pkg/poison"
 	"geraniumstep.org/geraniumstep/pkg/prio"
 	"geraniumstep.org/geraniumstep/pkg/route"
@@ -57,30 +60,28 @@
 	packets net.PacketConn
 	server  *http.Server
 
-	life      *life.Node
-	ready     atomic.Bool
-	conf      *config.Log
-	catalogue atomic.Pointer[layout.Catalogue]
-	view      atomic.Pointer[view]
-	table     *route.Table
-	tracker   *poison.Tracker
-	front     *front.Front
-	peers     *inner.Peers
-	admit     *admission
-	hedges    *budget.Budget
-	rescues   *budget.Budget
-	retries   *budget.Budget
-	latency   sync.Map // archive name to *quant.Window
-	members   *members
-	holds     *holds
-	remote    remoteRuns
-	shunned   sync.Map // inner address to time.Time
-	sync      syncer
-	registry  *prometheus.Registry
-	metrics   *metrics
-	random    *lockedRand
-	notices   chan inner.Notices
-	requests  atomic.Uint64
+	life     *life.Node
+	ready    atomic.Bool
+	confs    *confs.Keeper
+	view     atomic.Pointer[roster.View]
+	table    *route.Table
+	tracker  *poison.Tracker
+	front    *front.Front
+	peers    *inner.Peers
+	admit    *admission
+	hedges   *budget.Budget
+	rescues  *budget.Budget
+	retries  *budget.Budget
+	latency  sync.Map // archive name to *quant.Window
+	members  *members
+	holds    *holds.Keeper
+	remote   remoteRuns
+	shunned  sync.Map // inner address to time.Time
+	registry *prometheus.Registry
+	metrics  *metrics
+	random   *chance.Source
+	notices  chan inner.Notices
+	requests atomic.Uint64
 
 	work   context.Context
 	stop   context.CancelFunc
@@ -106,13 +107,12 @@
 		log:      logrus.StandardLogger(),
 		network:  hostNetwork{},
 		store:    st,
-		conf:     config.NewLog(),
 		tracker:  poison.New(),
 		hedges:   budget.New(set.Routing.HedgeBudget),
 		rescues:  budget.New(set.Routing.RescueBudget),
 		retries:  budget.New(set.Routing.RetryBudget),
 		registry: prometheus.NewRegistry(),
-		random:   newRand(set.Seed, set.VM),
+		random:   chance.New(set.Seed, set.VM),
 		notices:  make(chan inner.Notices, 64),
 		loaded:   make(chan struct{}),
 	}
@@ -123,14 +123,15 @@
 		return nil, err
 	}
 	n.work, n.stop = context.WithCancel(context.Background())
-	n.sync.node = n
 	n.build()
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		return nil, err
 	}
 	n.members = newMembers(n)
-	n.holds = newHolds(n)
+	n.holds = holds.New(n.work, holds.Self{VM: set.VM, Started: n.Started()}, set.Leases, inside{n}, st)
+	self := confs.Self{VM: set.VM, Domain: set.FailureDomain, Addr: n.InnerAddr(), Peers: set.Peers}
+	n.confs = confs.New(self, inside{n}, st, confs.WithLog(n.log), confs.WithRandom(n.random), confs.WithChanged(n.table.Update))
 	n.metrics = newMetrics(n)
 	n.rebuildView()
 	return n, nil
@@ -138,11 +139,9 @@
 
 // build makes the parts that need no address.
 func (n *Node) build() {
-	empty, _ := layout.New(layout.Spec{})
-	n.catalogue.Store(empty)
 	n.life = life.NewNode(n.lifeChanged)
 	n.peers = inner.NewPeers(n.dialInner)
-	n.table = route.New(rand.New(rand.NewPCG(n.set.Seed, n.random.uint64())), route.WithPolicy(n.policy()))
+	n.table = route.New(rand.New(rand.NewPCG(n.set.Seed, n.random.Uint64())), route.WithPolicy(n.policy()))
 	n.admit = newAdmission(n.set.Limits)
 	n.front = front.New(n.upstream, n.tracker, n.frontOptions()...)
 }
@@ -171,7 +170,7 @@
 	if n.set.Routing.Mode != modeShared {
 		return u.Slots()
 	}
-	return max(u.Slots()/max(n.view.Load().size(), 1), 1)
+	return max(u.Slots()/max(n.view.Load().Size(), 1), 1)
 }
 
 func (n *Node) policy() route.Policy {
@@ -230,10 +229,10 @@
 func (n *Node) State() life.NodeState { return n.life.State() }
 
 // Config gives the configuration in force.
-func (n *Node) Config() *config.State { return n.conf.State() }
+func (n *Node) Config() *config.State { return n.confs.Config() }
 
 // Catalogue gives the newest snapshot of the archives.
-func (n *Node) Catalogue() *layout.Catalogue { return n.catalogue.Load() }
+func (n *Node) Catalogue() *layout.Catalogue { return n.confs.Catalogue() }
 
 // Gatherer gives the node's metrics.
 func (n *Node) Gatherer() prometheus.Gatherer { return n.registry }
@@ -253,10 +252,6 @@
 
 func (n *Node) upstream(id string) (*layout.Upstream, bool) { return n.Catalogue().Upstream(id) }
 
-func (n *Node) versions() member.Versions {
-	return member.Versions{Config: n.Config().Revision(), Catalogue: n.Catalogue().Revision()}
-}
-
 func (n *Node) lifeChanged(from, to life.NodeState) {
 	n.log.Infof("node: %s went from %s to %s.", n.set.VM, from, to)
 	n.ready.Store(to == life.NodeReady)
--- a/internal/node/rpc.go
+++ b/internal/node/rpc.go
@@ -29,7 +29,7 @@
 // Notice takes news of upstreams.
 func (m *methods) Notice(notices *inner.Notices, _ *inner.None) error {
 	m.node.front.Notice(*notices)
-	m.node.holds.inheritances(notices.Heirs)
+	m.node.holds.Inheritances(notices.Heirs)
 	return nil
 }
 
@@ -37,10 +37,10 @@
 func (m *methods) Views(args *inner.Views, reply *inner.Views) error {
 	m.node.members.step(member.Merged{Records: args.Records})
 	m.node.front.Notice(args.Notices)
-	m.node.holds.inheritances(args.Notices.Heirs)
+	m.node.holds.Inheritances(args.Notices.Heirs)
 	reply.Records, _ = m.node.members.snapshot()
 	reply.Notices = m.node.front.Notices()
-	reply.Notices.Heirs = m.node.holds.heirList()
+	reply.Notices.Heirs = m.node.holds.Heirs()
 	return nil
 }
 
@@ -48,36 +48,36 @@
 func (m *methods) Submit(args *inner.Submit, reply *inner.SubmitReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), args.Budget)
 	defer cancel()
-	*reply = m.node.holds.submit(ctx, args)
+	*reply = m.node.holds.Submit(ctx, args)
 	return nil
 }
 
 // TakeOver takes a slot of the key space from its owner.
 func (m *methods) TakeOver(args *inner.TakeOver, _ *inner.None) error {
-	return m.node.holds.takeOver(args)
+	return m.node.holds.TakeOver(args)
 }
 
 // Inherit takes what became of the keys that a leaving node issued.
 func (m *methods) Inherit(args *inner.Inherit, _ *inner.None) error {
-	m.node.holds.inherit(args)
+	m.node.holds.Inherit(args)
 	return nil
 }
 
 // Versions tells what this node has in force.
 func (m *methods) Versions(_ *inner.None, reply *inner.VersionsReply) error {
-	reply.Have = m.node.versions()
+	reply.Have = m.node.confs.Versions()
 	return nil
 }
 
 // Pull answers with what the caller lacks.
 func (m *methods) Pull(args *inner.Pull, reply *inner.PullReply) error {
-	*reply = m.node.sync.since(args.Have)
+	*reply = m.node.confs.Since(args.Have)
 	return nil
 }
 
 // Notify hears that another node has something newer.
 func (m *methods) Notify(args *inner.Notify, _ *inner.None) error {
-	m.node.sync.heard(member.Heard{Addr: args.Addr, Versions: args.Have})
+	m.node.confs.Heard(member.Heard{Addr: args.Addr, Versions: args.Have})
 	return nil
 }
 
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -9,7 +9,7 @@
 
 	"github.com/oklog/run"
 
-	"geraniumstep.org/geraniumstep/pkg/config"
+	"geraniumstep.org/geraniumstep/internal/tasks"
 	"geraniumstep.org/geraniumstep/pkg/life"
 	"geraniumstep.org/geraniumstep/pkg/member"
 	"geraniumstep.org/geraniumstep/pkg/route"
@@ -19,6 +19,9 @@
 // node stops.
 const quietTime = 300 * time.Millisecond
 
+// idlePoll is how often a leaving node looks whether it is quiet.
+const idlePoll = 5 * time.Millisecond
+
 // errKilled ends the run group without a graceful shutdown.
 var errKilled = errors.New("killed")
 
@@ -37,8 +40,8 @@
 	group.Add(n.front.Actor())
 	n.add(work, &group, n.sendNotices)
 	n.add(work, &group, n.followConfig)
-	n.add(work, &group, n.sync.followVMs)
-	n.add(work, &group, n.holds.keep)
+	n.add(work, &group, n.members.followList)
+	n.add(work, &group, n.holds.Run)
 	group.Add(func() error { return n.serveCallers(work) }, func(error) { _ = n.server.Close() })
 	group.Add(func() error { return n.conduct(ctx, work) }, func(error) { n.stop() })
 	err := group.Run()
@@ -71,18 +74,11 @@
 
 // followConfig loads the configuration and follows its changes.
 func (n *Node) followConfig(ctx context.Context) error {
-	if err := n.sync.start(ctx); err != nil {
+	if err := n.confs.Start(ctx); err != nil {
 		return nil
 	}
 	close(n.loaded)
-	var group run.Group
-	n.add(ctx, &group, func(ctx context.Context) error {
-		return n.sync.watch(ctx, config.Prefix, n.sync.readChanges)
-	})
-	n.add(ctx, &group, func(ctx context.Context) error {
-		return n.sync.watch(ctx, CatalogueKey, n.sync.readCatalogue)
-	})
-	return group.Run()
+	return n.confs.Follow(ctx)
 }
 
 // conduct moves the node through its life: ready when it has a configuration,
@@ -128,7 +124,7 @@
 	n.server.SetKeepAlivesEnabled(false)
 	n.members.step(member.SetReady{Ready: false})
 	n.handOver(ctx)
-	sleep(ctx, time.Until(begun.Add(n.set.Stop.Notice)))
+	tasks.Sleep(ctx, time.Until(begun.Add(n.set.Stop.Notice)))
 	if err := n.server.Shutdown(ctx); err != nil {
 		n.log.Warnf("node: requests were still running after stop.grace %v: %v.", n.set.Stop.Grace, err)
 	}
@@ -139,10 +135,10 @@
 
 // handOver gives the slots and the issued keys to other nodes.
 func (n *Node) handOver(ctx context.Context) {
-	n.holds.leave(ctx)
+	n.holds.Leave(ctx)
 	var names []string
 	v := n.view.Load()
-	for _, r := range v.live() {
+	for _, r := range v.Live() {
 		if r.Ready && r.VM != n.set.VM {
 			names = append(names, r.VM)
 		}
@@ -151,7 +147,8 @@
 	if heir == "" {
 		return
 	}
-	if err := n.holds.bequeath(ctx, heir, v.members[heir].Addr); err != nil {
+	r, _ := v.Member(heir)
+	if err := n.holds.Bequeath(ctx, heir, r.Addr); err != nil {
 		n.log.Warnf("node: outcomes of issued keys were not handed over: %v.", err)
 	}
 }
@@ -163,7 +160,7 @@
 		if !n.remote.empty() || n.front.InFlight() > 0 {
 			quietSince = time.Now()
 		}
-		if !sleep(ctx, idlePoll) {
+		if !tasks.Sleep(ctx, idlePoll) {
 			return
 		}
 	}
--- a/internal/node/slope_test.go
+++ b/internal/node/slope_test.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"geraniumstep.org/geraniumstep/internal/inner"
+	"geraniumstep.org/geraniumstep/internal/roster"
 	"geraniumstep.org/geraniumstep/pkg/config"
 	"geraniumstep.org/geraniumstep/pkg/dedup"
 	"geraniumstep.org/geraniumstep/pkg/layout"
@@ -66,7 +67,7 @@
 		heap(b, 7500, "member", func() any {
 			t := member.New(records(1, 12)[0], rand.New(rand.NewPCG(1, 1)))
 			t.Step(member.Merged{Records: records(7500, 12)})
-			return []any{t, newView("entry-00000", t.Records(), func(string) bool { return true })}
+			return []any{t, roster.New(t.Records(), func(string) bool { return true })}
 		})
 	})
 	b.Run("upstreams=31000", func(b *testing.B) {
@@ -118,35 +119,12 @@
 		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
 			list := records(n, 12)
 			for b.Loop() {
-				newView("entry-00000", list, func(string) bool { return true })
+				roster.New(list, func(string) bool { return true })
 			}
 		})
 	}
 }
 
-// BenchmarkSlopeFront measures the choice of an upstream's front, the first
-// time and later.
-func BenchmarkSlopeFront(b *testing.B) {
-	c, err := layout.New(fleetSpec(31000))
-	if err != nil {
-		b.Fatal(err)
-	}
-	ups := c.Upstreams()
-	v := newView("entry-00000", records(7500, 12), func(string) bool { return true })
-	b.Run("first", func(b *testing.B) {
-		for i := 0; b.Loop(); i++ {
-			u := ups[i%len(ups)]
-			v.fronts[u.Domain()].chosen.Clear()
-			v.front(u)
-		}
-	})
-	b.Run("later", func(b *testing.B) {
-		for i := 0; b.Loop(); i++ {
-			v.front(ups[i%100])
-		}
-	})
-}
-
 // BenchmarkSlopeMember measures one step of the membership with its datagram.
 func BenchmarkSlopeMember(b *testing.B) {
 	for _, n := range []int{9, 625, 7500} {
@@ -221,7 +199,7 @@
 		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
 			var live []string
 			for _, r := range records(n, 12) {
-				live = append(live, ownerName(r.VM, r.Started))
+				live = append(live, fmt.Sprintf("%s/%d", r.VM, r.Started))
 			}
 			k := lease.New(live[0])
 			for b.Loop() {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -30,16 +30,14 @@
 	records, _ := n.members.snapshot()
 	return Status{
 		VM: n.set.VM, Domain: n.set.FailureDomain, State: n.State().String(), Started: n.Started(),
-		Config: n.Config().Revision(), Catalogue: n.Catalogue().Revision(), FromStore: n.sync.fromStore.Load(),
-		Slots: n.holds.slotsOwned(), Keys: n.holds.remembered(), Members: records,
+		Config: n.Config().Revision(), Catalogue: n.Catalogue().Revision(), FromStore: n.confs.FromStore(),
+		Slots: n.holds.SlotsOwned(), Keys: n.holds.Remembered(), Members: records,
 	}
 }
 
 // Commit accepts a change of the configuration into the log.
 func (n *Node) Commit(ctx context.Context, c config.Change) (config.Change, error) {
-	won, err := config.Commit(ctx, n.store, n.conf, c)
-	n.sync.tell()
-	return won, err
+	return n.confs.Commit(ctx, c)
 }
 
 // History reads the audit trail from the store, oldest first.
@@ -96,10 +94,10 @@
 
 func (n *Node) askPeer(ctx context.Context, r member.Record) PeerStatus {
 	p := PeerStatus{VM: r.VM, Domain: r.Domain, Status: r.Status.String(), Ready: r.Ready}
-	have := n.versions()
+	have := n.confs.Versions()
 	if r.VM != n.set.VM {
 		var reply inner.VersionsReply
-		ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+		ctx, cancel := context.WithTimeout(ctx, viewsTimeout)
 		defer cancel()
 		if err := n.peers.Call(ctx, r.Addr, inner.MethodVersions, &inner.None{}, &reply); err != nil {
 			return p
@@ -111,4 +109,4 @@
 }
 
 // LiveMembers counts the members that this node takes for alive and ready.
-func (n *Node) LiveMembers() int { return len(n.view.Load().ready) }
+func (n *Node) LiveMembers() int { return n.view.Load().Ready() }
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"geraniumstep.org/geraniumstep/internal/inner"
+	"geraniumstep.org/geraniumstep/internal/tasks"
 	"geraniumstep.org/geraniumstep/internal/wire"
 	"geraniumstep.org/geraniumstep/pkg/dedup"
 	"geraniumstep.org/geraniumstep/pkg/layout"
@@ -94,7 +95,7 @@
 		if sent {
 			return reply
 		}
-		if time.Now().Add(delay).After(patience) || !sleep(ctx, n.random.jitter(delay)) {
+		if time.Now().Add(delay).After(patience) || !tasks.Sleep(ctx, n.random.Jitter(delay)) {
 			return notOwned(req.First)
 		}
 	}
@@ -103,12 +104,12 @@
 // ask submits to the key's owner. It reports false when the owner is not known
 // or says that it is not the owner, so that nothing has happened.
 func (n *Node) ask(ctx context.Context, key dedup.Key, args *inner.Submit) (inner.SubmitReply, bool) {
-	vm, addr, ok := n.holds.owner(key)
+	vm, addr, ok := n.holds.Owner(key)
 	if !ok {
 		return inner.SubmitReply{}, false
 	}
 	if vm == n.set.VM {
-		reply := n.holds.submit(ctx, args)
+		reply := n.holds.Submit(ctx, args)
 		return reply, reply.Verdict != inner.VerdictNotOwner
 	}
 	var reply inner.SubmitReply
@@ -157,9 +158,9 @@
 	return &job{node: n, resolved: r, key: key, budget: args.Budget}, nil
 }
 
-// execute sends the request until one send may have reached the upstream, and
+// Execute sends the request until one send may have reached the upstream, and
 // never after that.
-func (j *job) execute(fence time.Time) dedup.Outcome {
+func (j *job) Execute(fence time.Time) dedup.Outcome {
 	deadline := j.resolved.deadline
 	if !fence.IsZero() && fence.Before(deadline) {
 		deadline = fence
@@ -183,9 +184,9 @@
 		case reply.Cause == search.CauseQuarantined:
 			return dedup.Outcome{Status: dedup.NotRun}
 		case reply.Cause == search.CauseVersionGone:
-			j.node.sync.catalogueNow(ctx)
+			j.node.confs.CatalogueNow(ctx)
 		}
-		if !sleep(ctx, j.node.backoff(try)) {
+		if !tasks.Sleep(ctx, j.node.random.Backoff(try)) {
 			return dedup.Outcome{Status: dedup.NotRun}
 		}
 	}
@@ -242,7 +243,7 @@
 func (n *Node) IssueKeys(count int) ([]string, bool) {
 	keys := make([]string, 0, count)
 	for range count {
-		k, ok := n.holds.issue()
+		k, ok := n.holds.Issue()
 		if !ok {
 			return nil, false
 		}
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,111 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+
+	"geraniumstep.org/geraniumstep/pkg/layout"
+	"geraniumstep.org/geraniumstep/pkg/member"
+)
+
+// records is a fleet of n members in so many domains.
+func records(n, domains int) []member.Record {
+	list := make([]member.Record, n)
+	for i := range list {
+		list[i] = member.Record{
+			VM: fmt.Sprintf("entry-%05d", i), Domain: fmt.Sprintf("domain-%02d", i%domains), Ready: true, Started: int64(i),
+			Addr: fmt.Sprintf("10.1.%d.%d:7001", i/250, i%250), Gossip: fmt.Sprintf("10.1.%d.%d:7002", i/250, i%250), Caller: fmt.Sprintf("10.1.%d.%d:7000", i/250, i%250),
+		}
+	}
+	return list
+}
+
+// fleetSpec is a catalogue of n upstreams, two to a shard.
+func fleetSpec(n int) layout.Spec {
+	spec := layout.Spec{Revision: 1, Archives: []layout.ArchiveSpec{{Name: "a", Version: 1}}}
+	for i := range n {
+		spec.Upstreams = append(spec.Upstreams, layout.UpstreamSpec{ID: fmt.Sprintf("upstream-%05d", i), Addr: fmt.Sprintf("10.2.%d.%d:80", i/250, i%250), Domain: fmt.Sprintf("domain-%02d", i%12), Slots: 2, Conns: 25})
+		if i%2 == 1 {
+			spec.Archives[0].Shards = append(spec.Archives[0].Shards, []string{spec.Upstreams[i-1].ID, spec.Upstreams[i].ID})
+		}
+	}
+	return spec
+}
+
+func everywhere(string) bool { return true }
+
+// Fronts are chosen among ready nodes, and stay while the candidates do.
+func TestFrontStaysWhileItsCandidatesDo(t *testing.T) {
+	c, err := layout.New(fleetSpec(60))
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := records(36, 12)
+	list[0].Ready = false
+	v := New(list, everywhere)
+	next := New(append(records(36, 12)[12:], list[:12]...), everywhere)
+	next.Inherit(v)
+	for _, u := range c.Upstreams() {
+		front, ok := v.Front(u)
+		if !ok || front.Domain != u.Domain() || !front.Ready {
+			t.Fatalf("Front(%s) = %+v %v, want a ready node of %s", u.ID(), front, ok, u.Domain())
+		}
+		if again, _ := next.Front(u); again.VM != front.VM {
+			t.Errorf("Front(%s) moved from %s to %s", u.ID(), front.VM, again.VM)
+		}
+	}
+}
+
+func TestCutDomainHasNoFront(t *testing.T) {
+	c, err := layout.New(fleetSpec(60))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cut := func(domain string) bool { return domain != "domain-03" }
+	v := New(records(36, 12), cut)
+	for _, u := range c.Upstreams() {
+		if _, ok := v.Front(u); ok != cut(u.Domain()) {
+			t.Errorf("Front(%s) in %s = %v, want %v", u.ID(), u.Domain(), ok, !ok)
+		}
+	}
+	if v.Differs(cut) || !v.Differs(everywhere) {
+		t.Errorf("Differs() = %v of the same domains and %v of others, want false and true", v.Differs(cut), v.Differs(everywhere))
+	}
+	if got, want := len(v.Live()), 33; got != want {
+		t.Errorf("live members = %d, want %d", got, want)
+	}
+}
+
+func TestGoneListsOtherIncarnations(t *testing.T) {
+	list := records(3, 1)
+	next := records(3, 1)
+	next[0].Started++
+	next[1].Status = member.Dead
+	got := New(list, everywhere).Gone(New(next, everywhere))
+	if len(got) != 2 {
+		t.Errorf("Gone() = %v, want the addresses of the first two", got)
+	}
+}
+
+// BenchmarkSlopeFront measures the choice of an upstream's front, the first
+// time and later.
+func BenchmarkSlopeFront(b *testing.B) {
+	c, err := layout.New(fleetSpec(31000))
+	if err != nil {
+		b.Fatal(err)
+	}
+	ups := c.Upstreams()
+	v := New(records(7500, 12), func(string) bool { return true })
+	b.Run("first", func(b *testing.B) {
+		for i := 0; b.Loop(); i++ {
+			u := ups[i%len(ups)]
+			v.fronts[u.Domain()].chosen.Clear()
+			v.Front(u)
+		}
+	})
+	b.Run("later", func(b *testing.B) {
+		for i := 0; b.Loop(); i++ {
+			v.Front(ups[i%100])
+		}
+	})
+}
--- a/internal/tasks/tasks.go
+++ b/internal/tasks/tasks.go
@@ -7,7 +7,11 @@
 //	g.Wait()
 package tasks
 
-import "sync"
+import (
+	"context"
+	"sync"
+	"time"
+)
 
 // Group is a set of goroutines with one end. The zero value is ready for use. It
 // is safe for concurrent use.
@@ -35,3 +39,18 @@
 	g.mu.Unlock()
 	g.running.Wait()
 }
+
+// Sleep waits and tells whether the context is still alive.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -28,6 +28,7 @@
 	"geraniumstep.org/geraniumstep/internal/relay"
 	"geraniumstep.org/geraniumstep/internal/setup"
 	"geraniumstep.org/geraniumstep/internal/talk"
+	"geraniumstep.org/geraniumstep/internal/tasks"
 	"geraniumstep.org/geraniumstep/pkg/extra"
 	"geraniumstep.org/geraniumstep/pkg/gather"
 	"geraniumstep.org/geraniumstep/pkg/life"
@@ -211,7 +212,7 @@
 	t.fire(life.OrderLeave)
 	t.handler.Stop()
 	t.mesh.Leave()
-	sleep(work, t.set.Stop.Notice)
+	tasks.Sleep(work, t.set.Stop.Notice)
 	end, cancel := context.WithDeadline(work, begun.Add(t.set.Stop.Grace-stopReserve))
 	defer cancel()
 	if err := callers.Shutdown(end); err != nil {
@@ -220,15 +221,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (t *Tier) fire(o life.Order) {
 	if err := t.life.Fire(o); err != nil {
 		t.log.WithField("error", err.Error()).Warn("tier: order does not fit the state.")
