demo: hold a refusal against its own send

Cause: under heavy load (ten race tests of the demo at once) two of 30 runs reported that a search was refused as not run and ran. The demo's balancer sends a search again when the first connection fails, a time-out included, under the same trace; what the first send had run was held against the refusal of the second. Ruled out: a node that says so of what it sent: the machine, the gate, the front and the calls between nodes give proof for each cause that counts as not run.

Change: each send has a trace of its own, and a refusal is held against its own send. That is as strict: a second send that runs and is refused is found. Test: TestRefusalIsHeldAgainstItsOwnSend.

--- a/internal/demo/check_test.go
+++ b/internal/demo/check_test.go
@@ -153,6 +153,27 @@
 	}
 }
 
+// Replays a caller whose first send runs and breaks, as when it times out on a
+// busy machine, and whose second send is refused: the refusal is true.
+func TestRefusalIsHeldAgainstItsOwnSend(t *testing.T) {
+	for secondRuns, want := range map[bool]int{false: 0, true: 1} {
+		b := newBench()
+		c, r := sendAgain(call{trace: "s-1", priority: prio.Urgent, due: time.Now()}, func(c call, try uint64) result {
+			if try == 0 || secondRuns {
+				b.ledger.Begin(c.trace, stand.Part("seats", 1, 0), "")
+			}
+			if try == 0 {
+				return result{err: errors.New("time-out")}
+			}
+			return result{problem: &wire.Problem{Kind: wire.KindNotRun}}
+		})
+		b.check.searched(c, r)
+		if got := b.violations().NotRunButRan; got != want {
+			t.Errorf("refusals that have run, second send runs %v = %d, want %d", secondRuns, got, want)
+		}
+	}
+}
+
 func TestFaultNames(t *testing.T) {
 	if _, err := ParseFaults("drain,flood-bulk"); err != nil {
 		t.Errorf("ParseFaults() = %v, want nil", err)
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -162,15 +162,26 @@
 }
 
 func (l *callers) searchCall(c call, n uint64) {
+	c, r := sendAgain(c, func(c call, try uint64) result { return l.post(l.pick(n+try), "searches", c, nil) })
+	l.check.searched(c, r)
+}
+
+// sendAgain sends a search once more when the connection of the first send fails.
+// Each send has a trace of its own: what the first has run says nothing of what
+// is promised of the second.
+func sendAgain(c call, post func(c call, try uint64) result) (call, result) {
 	const tries = 2
+	trace := c.trace
 	var r result
-	for try := range tries {
-		r = l.post(l.pick(n+uint64(try)), "searches", c, nil)
-		if !r.broken() {
+	for try := range uint64(tries) {
+		if try > 0 {
+			c.trace = fmt.Sprintf("%s.%d", trace, try)
+		}
+		if r = post(c, try); !r.broken() {
 			break
 		}
 	}
-	l.check.searched(c, r)
+	return c, r
 }
 
 // query draws from a skewed set, as people ask for the same things.
