mesh: greet seeds every 300 ms while alone

Change: while no other node is known, seeds are tried every 300 ms, not every second. Only a node that knows nobody pays for it. Ruled out: the store's own retries, which start at 0.1 s.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -36,8 +36,9 @@
 	// remoteEvery spares bytes between domains: membership of other domains
 	// may lag by some seconds, calls to their nodes show more.
 	remoteEvery = 4
-	// greetEvery is how often seeds are tried while no other node is known.
-	greetEvery = time.Second
+	// greetEvery is how often seeds are tried while no other node is known. After
+	// a power loss nodes start within a second or two of each other.
+	greetEvery = 300 * time.Millisecond
 	// callTimeout bounds calls between nodes that carry state.
 	callTimeout = 1500 * time.Millisecond
 	maxDatagram = 16 << 10
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -41,7 +41,12 @@
 // newMesh makes a node of the domain on loopback.
 func newMesh(t testing.TB, vm, domain string, state State, seeds ...string) *Mesh {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return newMeshAt(t, "127.0.0.1:0", vm, domain, state, seeds...)
+}
+
+func newMeshAt(t testing.TB, at, vm, domain string, state State, seeds ...string) *Mesh {
+	t.Helper()
+	l, err := net.Listen("tcp", at)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -102,6 +107,29 @@
 	}
 }
 
+// Replays the end of a power loss: a node is up before its seeds, and meets them
+// soon after they start.
+func TestSeedThatStartsLateIsMetSoon(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	seed := l.Addr().String()
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	b := newMesh(t, "b", "d", newFakeState(), seed)
+	b.start(t)
+	time.Sleep(150 * time.Millisecond)
+	a := newMeshAt(t, seed, "a", "d", newFakeState())
+	a.start(t)
+	begun := time.Now()
+	eventually(t, "the node knows its seed", func() bool { return len(b.domain()) > 0 })
+	if got, most := time.Since(begun), 600*time.Millisecond; got > most {
+		t.Errorf("the seed was met after %v, want at most %v", got, most)
+	}
+}
+
 func TestChangeIsPushedWithinTheDomain(t *testing.T) {
 	sa, sb := newFakeState(), newFakeState()
 	a := newMesh(t, "a", "d", sa)
