inner: forget a connection as soon as it has ended

The rpc client knew that its connection was shut and sent nothing, but its error is the one of calls that were sent; so the legs counted as reached and were lost.

Change: a connection that can bring no more replies is forgotten at once; the next call opens another one and learns that it was not sent. Ruled out: gathers in flight at the stop (none failed), membership that is late (it is, by up to two seconds, and may be).

Test: TestCallAfterAStopIsUnsent.

--- a/internal/inner/inner_test.go
+++ b/internal/inner/inner_test.go
@@ -126,3 +126,19 @@
 		_ = msgpack.Unmarshal(data, &member.Message{})
 	})
 }
+
+// Replays a peer that stops while nothing is asked of it: the next call must not
+// count as one that may have been carried out.
+func TestCallAfterAStopIsUnsent(t *testing.T) {
+	addr, stop := serve(t, &Node{})
+	p := inner.NewPeers(dial)
+	defer p.Close()
+	if _, err := call(p, addr, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	stop()
+	time.Sleep(50 * time.Millisecond)
+	if _, err := call(p, addr, time.Second); !errors.Is(err, inner.ErrUnsent) {
+		t.Errorf("Call() after the peer's stop = %v, want ErrUnsent", err)
+	}
+}
--- a/internal/inner/peers.go
+++ b/internal/inner/peers.go
@@ -109,7 +109,33 @@
 		delete(p.links, addr)
 		return
 	}
-	l.client = rpc.NewClientWithCodec(NewClientCodec(conn))
+	l.client = rpc.NewClientWithCodec(watchedCodec{NewClientCodec(conn), func() { p.ended(addr, l) }})
+}
+
+// watchedCodec tells when its connection can bring no more replies.
+type watchedCodec struct {
+	rpc.ClientCodec
+	ended func()
+}
+
+// ReadResponseHeader implements rpc.ClientCodec.
+func (c watchedCodec) ReadResponseHeader(r *rpc.Response) error {
+	err := c.ClientCodec.ReadResponseHeader(r)
+	if err != nil {
+		c.ended()
+		_ = c.Close()
+	}
+	return err
+}
+
+// ended forgets a connection that has ended, so that the next call opens another
+// one and knows whether it was sent.
+func (p *Peers) ended(addr string, l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.links[addr] == l {
+		delete(p.links, addr)
+	}
 }
 
 func (p *Peers) drop(addr string, client *rpc.Client) {
