--- /dev/null
+++ b/internal/confs/keeper_test.go
@@ -0,0 +1,204 @@
+package confs
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"geraniumstep.org/geraniumstep/internal/inner"
+	"geraniumstep.org/geraniumstep/internal/roster"
+	"geraniumstep.org/geraniumstep/pkg/config"
+	"geraniumstep.org/geraniumstep/pkg/layout"
+	"geraniumstep.org/geraniumstep/pkg/member"
+	"geraniumstep.org/geraniumstep/pkg/store"
+)
+
+// memory is a store that can be down.
+type memory struct {
+	store.Store
+	mu      sync.Mutex
+	objects map[string]store.Object
+	version uint64
+	down    bool
+}
+
+func newMemory() *memory { return &memory{objects: make(map[string]store.Object)} }
+
+var errDown = errors.New("store is down")
+
+func (s *memory) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *memory) Get(_ context.Context, key string) (store.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return store.Object{}, errDown
+	}
+	o, ok := s.objects[key]
+	if !ok {
+		return o, store.ErrNotFound
+	}
+	return o, nil
+}
+
+func (s *memory) Put(_ context.Context, key string, value []byte, version uint64) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, errDown
+	}
+	if s.objects[key].Version != version {
+		return 0, store.ErrConflict
+	}
+	s.version++
+	s.objects[key] = store.Object{Key: key, Version: s.version, Value: value}
+	return s.version, nil
+}
+
+func (s *memory) List(_ context.Context, prefix, after string, limit int) ([]store.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, errDown
+	}
+	var list []store.Object
+	for key, o := range s.objects {
+		if strings.HasPrefix(key, prefix) && key > after {
+			list = append(list, o)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
+	return list[:min(limit, len(list))], nil
+}
+
+// publish stores a catalogue.
+func (s *memory) publish(t *testing.T, revision uint64) {
+	t.Helper()
+	data, err := json.Marshal(layout.Spec{Revision: revision})
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := s.objects[CatalogueKey]
+	if _, err := s.Put(t.Context(), CatalogueKey, data, o.Version); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// process is a node that calls other keepers directly.
+type process struct {
+	view  *roster.View
+	peers map[string]*Keeper
+}
+
+func (p *process) View() *roster.View { return p.view }
+
+func (p *process) Call(_ context.Context, addr, method string, args, reply any) error {
+	k, ok := p.peers[addr]
+	if !ok || method != inner.MethodPull {
+		return errors.New("peer cannot be reached")
+	}
+	*reply.(*inner.PullReply) = k.Since(args.(*inner.Pull).Have)
+	return nil
+}
+
+func (p *process) Go(f func()) { f() }
+
+// newKeeper makes a keeper that knows the peers by their names.
+func newKeeper(name string, st store.Store, peers map[string]*Keeper) *Keeper {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	self := Self{VM: name, Domain: "d", Addr: name}
+	var records []member.Record
+	for peer := range peers {
+		self.Peers = append(self.Peers, peer)
+		records = append(records, member.Record{VM: peer, Domain: "d", Addr: peer, Ready: true})
+	}
+	view := roster.New(records, func(string) bool { return true })
+	return New(self, &process{view: view, peers: peers}, st, WithLog(log))
+}
+
+func change(id string) config.Change {
+	return config.Change{ID: id, Who: "test", Kind: config.KindTemplate, Name: id, After: json.RawMessage(`{}`)}
+}
+
+func TestStartReadsTheStore(t *testing.T) {
+	st := newMemory()
+	st.publish(t, 3)
+	first := newKeeper("a", st, nil)
+	if _, err := first.Commit(t.Context(), change("one")); err != nil {
+		t.Fatal(err)
+	}
+	second := newKeeper("b", st, nil)
+	if err := second.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := second.Versions(), (member.Versions{Config: 1, Catalogue: 3}); got != want || !second.FromStore() {
+		t.Errorf("versions = %+v, from the store %v, want %+v and true", got, second.FromStore(), want)
+	}
+}
+
+// A node that starts while the store is down takes what its peers have.
+func TestStartTakesFromPeersWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := newMemory()
+		st.publish(t, 3)
+		first := newKeeper("a", st, nil)
+		if err := first.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := first.Commit(t.Context(), change("one")); err != nil {
+			t.Fatal(err)
+		}
+		st.setDown(true)
+		second := newKeeper("b", st, map[string]*Keeper{"a": first})
+		if err := second.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if got, want := second.Versions(), first.Versions(); got != want || second.FromStore() {
+			t.Errorf("versions = %+v, from the store %v, want %+v and false", got, second.FromStore(), want)
+		}
+	})
+}
+
+// Without the store and without peers a node waits for either.
+func TestStartWaitsForTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := newMemory()
+		st.publish(t, 1)
+		st.setDown(true)
+		time.AfterFunc(time.Second, func() { st.setDown(false) })
+		begun := time.Now()
+		if err := newKeeper("a", st, nil).Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if got, most := time.Since(begun), time.Second+startInterval; got < time.Second || got > most {
+			t.Errorf("Start() took %v, want between 1 s and %v", got, most)
+		}
+	})
+}
+
+// An older catalogue, as from a peer that lags, is never put in force.
+func TestCatalogueNeverStepsBack(t *testing.T) {
+	k := newKeeper("a", newMemory(), nil)
+	for _, step := range []struct{ given, want uint64 }{{5, 5}, {4, 5}, {5, 5}, {6, 6}} {
+		if err := k.setCatalogue(layout.Spec{Revision: step.given}); err != nil {
+			t.Fatal(err)
+		}
+		if got := k.Catalogue().Revision(); got != step.want {
+			t.Errorf("catalogue after %d = %d, want %d", step.given, got, step.want)
+		}
+	}
+}
