--- a/internal/confs/keeper.go
+++ b/internal/confs/keeper.go
@@ -15,7 +15,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/oklog/run"
 	"github.com/sirupsen/logrus"
 
 	"geraniumstep.org/geraniumstep/internal/chance"
@@ -25,7 +24,6 @@
 	"geraniumstep.org/geraniumstep/pkg/config"
 	"geraniumstep.org/geraniumstep/pkg/layout"
 	"geraniumstep.org/geraniumstep/pkg/member"
-	"geraniumstep.org/geraniumstep/pkg/route"
 	"geraniumstep.org/geraniumstep/pkg/store"
 )
 
@@ -34,9 +32,6 @@
 	CatalogueKey = "catalogue"
 	snapshotKey  = "config/snapshot"
 
-	watchWait     = 5 * time.Second
-	watcherCheck  = 500 * time.Millisecond
-	watchers      = 2
 	listPage      = 500
 	pullTimeout   = 2 * time.Second
 	startInterval = 200 * time.Millisecond
@@ -349,60 +344,3 @@
 	defer cancel()
 	_ = k.readCatalogue(ctx)
 }
-
-// Watching tells whether this node is one of those that watch the store on
-// behalf of their failure domain.
-func (k *Keeper) Watching() bool {
-	names := append([]string(nil), k.node.View().Candidates(k.self.Domain)...)
-	for range watchers {
-		owner := route.Owner("watch", names)
-		if owner == k.self.VM {
-			return true
-		}
-		for i, name := range names {
-			if name == owner {
-				names = append(names[:i], names[i+1:]...)
-				break
-			}
-		}
-	}
-	return false
-}
-
-// watch follows the objects with a prefix while this node is a watcher. A
-// watch only says when to read; what is read decides.
-func (k *Keeper) watch(ctx context.Context, prefix string, read func(context.Context) error) error {
-	version, failures := uint64(0), 0
-	for ctx.Err() == nil {
-		if !k.Watching() {
-			tasks.Sleep(ctx, k.random.Jitter(watcherCheck))
-			continue
-		}
-		objects, err := k.store.Watch(ctx, prefix, version, watchWait)
-		for _, o := range objects {
-			version = max(version, o.Version)
-		}
-		if err == nil {
-			err = read(ctx)
-		}
-		if err != nil {
-			failures++
-			tasks.Sleep(ctx, k.random.Backoff(failures))
-			continue
-		}
-		failures = 0
-		k.compact(ctx)
-	}
-	return nil
-}
-
-// Follow keeps to what the store says until the context ends.
-func (k *Keeper) Follow(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	var group run.Group
-	for prefix, read := range map[string]func(context.Context) error{config.Prefix: k.readChanges, CatalogueKey: k.readCatalogue} {
-		group.Add(func() error { return k.watch(ctx, prefix, read) }, func(error) { cancel() })
-	}
-	return group.Run()
-}
