--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync/atomic"
@@ -46,14 +47,7 @@
 
 func newMeshAt(t testing.TB, at, vm, domain string, state State, seeds ...string) *Mesh {
 	t.Helper()
-	l, err := net.Listen("tcp", at)
-	if err != nil {
-		t.Fatal(err)
-	}
-	packets, err := net.ListenPacket("udp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
+	l, packets := listenPair(t, at)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	addr := l.Addr().String()
@@ -66,6 +60,30 @@
 	return New(self, l, packets, state, dial, WithSeeds(seeds), WithLog(logrus.NewEntry(log)))
 }
 
+// maxPortTries bounds the search for a port that is free for both TCP and UDP.
+const maxPortTries = 20
+
+// listenPair listens at the address over TCP and, on the same port, over UDP. If the
+// address leaves the port open, it chooses one that is free for both.
+func listenPair(t testing.TB, at string) (net.Listener, net.PacketConn) {
+	t.Helper()
+	var failure error
+	for range maxPortTries {
+		l, err := net.Listen("tcp", at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		packets, err := net.ListenPacket("udp", l.Addr().String())
+		if err == nil {
+			return l, packets
+		}
+		failure = err
+		_ = l.Close()
+	}
+	t.Fatal(failure)
+	return nil, nil
+}
+
 // dropWrites makes all connections between nodes discard what is written.
 var dropWrites atomic.Bool
 
@@ -111,12 +129,9 @@
 // After a power loss a node may be up before its seeds. It must join them soon
 // after they start.
 func TestNodeJoinsSeedThatStartsLater(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l, packets := listenPair(t, "127.0.0.1:0")
 	seed := l.Addr().String()
-	if err := l.Close(); err != nil {
+	if err := errors.Join(l.Close(), packets.Close()); err != nil {
 		t.Fatal(err)
 	}
 	b := newMesh(t, "b", "d", newFakeState(), seed)
