relay: log which requests were in flight when an upstream crashed

Change: each request has a fingerprint (method, host, path, query, body, the caller's IP address). When an upstream closes a connection without a response, the node connects to it again, logs whether it still listens and counts that. The connection is kept for the next request. No decision uses any of this.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -86,9 +86,9 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
-// healthy reports whether an idle connection may be reused: it is open, has not
+// Healthy reports whether an idle connection may be reused: it is open, has not
 // expired and has nothing to read. Bytes received while idle belong to no request.
-func (c *Conn) healthy() bool {
+func (c *Conn) Healthy() bool {
 	if c.reader.Buffered() > 0 || time.Now().After(c.reusableUntil) {
 		return false
 	}
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -31,16 +31,21 @@
 		if c == nil {
 			break
 		}
-		if c.healthy() {
+		if c.Healthy() {
 			return c, nil
 		}
 		_ = c.Close()
 	}
+	return p.Open(ctx)
+}
+
+// Open opens a new connection, even if an idle one is available.
+func (p *Pool) Open(ctx context.Context) (*Conn, error) {
 	raw, err := p.dial(ctx, p.addr)
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: raw, reusable: true, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	return &Conn{Conn: raw, reusable: true, reusableUntil: time.Now().Add(defaultIdleTime), reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
 }
 
 func (p *Pool) popIdle() *Conn {
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -76,7 +76,7 @@
 		allowed = min(allowed, req.Timeout)
 	}
 	r.deadline = r.arrived.Add(allowed)
-	r.fingerprint = poison.FingerprintOf(t.Name(), w.Name(), string(params))
+	r.fingerprint = poison.FingerprintOf(params, t.Name(), w.Name())
 	return r, nil
 }
 
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -12,6 +12,8 @@
 type Request struct {
 	// ID identifies the caller's attempt. Each attempt has its own ID.
 	ID string
+	// Caller identifies the caller across its attempts and connections.
+	Caller string
 	// Remaining is how long the caller waits, or 0 if it sent no limit.
 	Remaining time.Duration
 	Method    string
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -130,6 +130,10 @@
 			return attemptDone{attempt: a, cause: "given_up"}, gate.OutcomeCanceled
 		}
 		stats.Failed()
+		if closedByUpstream(err) {
+			now := time.Now()
+			r.engine.connectionBroke(a.upstream, suspect{fingerprint: r.fingerprint, request: r.req.ID, sentAt: now.Add(-took), brokeAt: now})
+		}
 		return attemptDone{attempt: a, cause: "broken", err: err}, gate.OutcomeCanceled
 	}
 	if res.Reply().HasLoad {
--- a/internal/relay/do.go
+++ b/internal/relay/do.go
@@ -11,6 +11,7 @@
 	"geraniumstep.org/geraniumstep/internal/proto"
 	"geraniumstep.org/geraniumstep/pkg/admit"
 	"geraniumstep.org/geraniumstep/pkg/fanout"
+	"geraniumstep.org/geraniumstep/pkg/poison"
 	"geraniumstep.org/geraniumstep/pkg/topk"
 	"geraniumstep.org/geraniumstep/pkg/vhost"
 )
@@ -50,7 +51,7 @@
 	if req.Remaining > 0 {
 		wait = min(wait, req.Remaining)
 	}
-	r := &run{engine: e, req: req, route: route, version: version, directory: e.upstreams.Load()}
+	r := &run{engine: e, req: req, route: route, version: version, fingerprint: fingerprintOf(req), directory: e.upstreams.Load()}
 	r.plan = fanout.Plan{
 		MinAnswered:  1,
 		MaxAttempts:  max(route.MaxAttempts(), 1),
@@ -70,6 +71,12 @@
 	return r
 }
 
+// fingerprintOf identifies requests that are equal in method, host, path, query and
+// body, and come from the same caller.
+func fingerprintOf(req *proto.Request) poison.Fingerprint {
+	return poison.FingerprintOf(req.Body, req.Method, req.Host, req.Target, req.Caller)
+}
+
 // admitAndExecute executes the request, or rejects it if it cannot be served in time.
 func (r *run) admitAndExecute(ctx context.Context) proto.Answer {
 	now := time.Now()
--- a/internal/relay/gathercall.go
+++ b/internal/relay/gathercall.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"geraniumstep.org/geraniumstep/pkg/poison"
 	"geraniumstep.org/geraniumstep/pkg/prio"
 )
 
@@ -26,6 +27,8 @@
 	Deadline time.Duration `msgpack:"d"`
 	Hops     int           `msgpack:"ho"`
 	Version  uint64        `msgpack:"v"`
+	// Fingerprint identifies equal requests of the same caller.
+	Fingerprint poison.Fingerprint `msgpack:"f"`
 }
 
 // GatherReply holds the merged responses of the shards of a GatherCall.
--- a/internal/relay/gatherer.go
+++ b/internal/relay/gatherer.go
@@ -61,7 +61,7 @@
 		vhost.WithPriority(call.Priority), vhost.WithMaxAttempts(call.Attempts), vhost.WithIdempotent(true),
 		vhost.WithTimeout(call.Deadline), vhost.WithTarget(call.Soft))
 	return &run{
-		engine: e, req: req, route: route, version: call.Version, directory: e.upstreams.Load(),
+		engine: e, req: req, route: route, version: call.Version, fingerprint: call.Fingerprint, directory: e.upstreams.Load(),
 		gather: true, topK: call.TopK, hops: call.Hops,
 		plan: fanout.Plan{
 			Services: call.Services, MinAnswered: max(call.MinLegs, 1), MaxAttempts: max(call.Attempts, 1), Idempotent: true,
--- a/internal/relay/http.go
+++ b/internal/relay/http.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -67,11 +68,20 @@
 		return nil, &proto.Invalid{Status: http.StatusBadRequest, Reason: "request has no id; send one with each attempt"}
 	}
 	return &proto.Request{
-		ID: id, Remaining: remaining, Method: r.Method, Host: r.Host, Target: r.RequestURI, Path: r.URL.EscapedPath(),
+		ID: id, Caller: callerOf(r), Remaining: remaining, Method: r.Method, Host: r.Host, Target: r.RequestURI, Path: r.URL.EscapedPath(),
 		Header: r.Header, Body: body, Arrived: time.Now(),
 	}, nil
 }
 
+// callerOf returns the caller's IP address. The port differs between its connections.
+func callerOf(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
 func (h *Handler) bodyError(err error) *proto.Invalid {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -42,6 +42,7 @@
 	}
 	if r.lastCause != "" {
 		fields["last_failure"] = r.lastCause
+		fields["fingerprint"] = formatFingerprint(r.fingerprint)
 	}
 	r.engine.log.WithFields(fields).Info("relay: request ended.")
 }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -8,6 +8,7 @@
 	requests *prometheus.CounterVec
 	sends    *prometheus.CounterVec
 	failures *prometheus.CounterVec
+	broken   *prometheus.CounterVec
 	denied   prometheus.Counter
 	latency  *prometheus.HistogramVec
 	upstream prometheus.Histogram
@@ -26,6 +27,8 @@
 			Name: "geraniumstep_relay_sends_total", Help: "Attempts at upstreams by reason."}, []string{"reason"}),
 		failures: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "geraniumstep_relay_failures_total", Help: "Failed attempts by cause."}, []string{"cause"}),
+		broken: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "geraniumstep_relay_broken_total", Help: "Attempts whose connection the upstream closed without a response, by the state of the upstream after that."}, []string{"state"}),
 		denied: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "geraniumstep_relay_extra_denied_total", Help: "Hedges and retries that the budget did not allow."}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -38,5 +41,5 @@
 }
 
 func (m *metrics) all() []prometheus.Collector {
-	return []prometheus.Collector{m.requests, m.sends, m.failures, m.denied, m.latency, m.upstream, m.version}
+	return []prometheus.Collector{m.requests, m.sends, m.failures, m.broken, m.denied, m.latency, m.upstream, m.version}
 }
--- a/internal/relay/peergroup.go
+++ b/internal/relay/peergroup.go
@@ -133,7 +133,7 @@
 	return &GatherCall{
 		ID: g.id, Request: r.req.ID, Route: r.route.Name(), Method: r.req.Method, Host: r.req.Host, Target: r.req.Target,
 		Header: r.endToEnd(), Body: r.req.Body, Services: g.services, TopK: r.topK, MinLegs: minLegs,
-		Attempts: r.plan.MaxAttempts, Priority: r.route.Priority(), Hops: r.hops + 1, Version: r.version,
+		Attempts: r.plan.MaxAttempts, Priority: r.route.Priority(), Hops: r.hops + 1, Version: r.version, Fingerprint: r.fingerprint,
 		Soft: soft.Sub(now), Deadline: r.plan.Deadline.Sub(now) - replyMargin,
 	}
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -9,6 +9,7 @@
 	"geraniumstep.org/geraniumstep/internal/link"
 	"geraniumstep.org/geraniumstep/internal/proto"
 	"geraniumstep.org/geraniumstep/pkg/fanout"
+	"geraniumstep.org/geraniumstep/pkg/poison"
 	"geraniumstep.org/geraniumstep/pkg/vhost"
 )
 
@@ -28,14 +29,16 @@
 // the request to one shard within a fan-out, or the only request of a run without
 // fan-out.
 type run struct {
-	engine    *Engine
-	req       *proto.Request
-	route     *vhost.Route
-	version   uint64
-	directory *directory
-	plan      fanout.Plan
-	gather    bool
-	topK      int
+	engine  *Engine
+	req     *proto.Request
+	route   *vhost.Route
+	version uint64
+	// fingerprint identifies equal requests of the same caller.
+	fingerprint poison.Fingerprint
+	directory   *directory
+	plan        fanout.Plan
+	gather      bool
+	topK        int
 
 	// machine decides what is sent and when. It is advanced by events.
 	machine *fanout.Fanout
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -17,6 +17,7 @@
 	gate  *gate.Shared
 	slots atomic.Int64
 	pool  *link.Pool
+	crash crashCheck
 }
 
 // matches reports whether the entry describes this incarnation at this address.
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -39,14 +39,15 @@
 // Fingerprint identifies equal requests, regardless of the sender.
 type Fingerprint uint64
 
-// FingerprintOf computes the fingerprint of a request from its parts.
-func FingerprintOf(parts ...string) Fingerprint {
+// FingerprintOf computes the fingerprint of a request from its body and other parts.
+func FingerprintOf(body []byte, parts ...string) Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
 	for _, p := range parts {
 		_, _ = d.WriteString(p)
 		_, _ = d.Write([]byte{0})
 	}
+	_, _ = d.Write(body)
 	return Fingerprint(d.Sum64())
 }
 
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -13,7 +13,7 @@
 func TestTwoCrashesQuarantine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tr := poison.New(poison.WithRetention(time.Minute))
-		f := poison.FingerprintOf("template", "workspace", "params")
+		f := poison.FingerprintOf([]byte("params"), "template", "workspace")
 		if got := tr.Verdict(f); got != poison.Novel {
 			t.Errorf("Verdict() = %v, want %v", got, poison.Novel)
 		}
