fanout: a waiting leg does not keep the time of its hedge

What was seen: the state machine of a request asked to be woken at a time in the past, so its goroutine spun until the leg was sent again.

Cause: a leg whose only attempt fails unsent after its hedge was due waits for another upstream for 40 ms, and Wake still counts the hedge of the attempt that is gone.

Change: the time of the hedge is cleared with the last attempt in flight.

Evidence: TestWaitingLegDoesNotSpin: Wake() was 20 ms in the past before.

--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -165,6 +165,7 @@
 		l.reached -= min(max(ev.Unreached, 0), a.maxUpstreams-1)
 	}
 	if len(l.inFlight) == 0 {
+		l.hedgeAt = time.Time{}
 		f.retry(i, now)
 	}
 }
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -238,3 +238,19 @@
 		}
 	})
 }
+
+// A leg without an attempt in flight must not leave the time of its hedge behind: Wake
+// would return a time in the past until the leg is sent again.
+func TestWaitingLegDoesNotSpin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		deps := &fakeDeps{hedgeAfter: 30 * time.Millisecond, expected: 5 * time.Millisecond}
+		f := New(plan(1, 1), deps)
+		first := sends(f.Step(Start{}))[0].Attempt
+		time.Sleep(50 * time.Millisecond)
+		deps.none = true
+		f.Step(Failed{Attempt: first, NotRun: true, Unsent: true})
+		if got := time.Until(f.Wake()); got <= 0 {
+			t.Errorf("Wake() is %v from now, want a time in the future", got)
+		}
+	})
+}
