poison: count trials instead of crashes

What callers saw: nothing yet; this prepares the decision for the relay path, where many nodes send to the same upstreams and popular equal requests are in flight in most crashes.

Cause: two crashes quarantined a request. Upstreams that end together (a failure domain, or all shards of one search) are two crashes, and so are two crashes beside a request that really causes them, if its node reports separately.

Change: crashes count as trials only if the request was sent after the crash before. Two trials quarantine a request that was the only suspect of one of them, three any other. A success clears a suspect on all nodes. A quarantine lasts while the request is still being sent, at most 24 h after the last crash.

--- a/internal/front/dispatcher.go
+++ b/internal/front/dispatcher.go
@@ -36,10 +36,10 @@
 	drainFromHealth atomic.Bool
 
 	mu      sync.Mutex
-	running map[uint64]poison.Fingerprint
-	// canceled maps the fingerprints of requests whose calls were cancelled to the
-	// time of the cancellation. A cancelled request can still crash the upstream.
-	canceled map[poison.Fingerprint]time.Time
+	running map[uint64]poison.Run
+	// canceled holds the requests whose calls were cancelled. A cancelled request
+	// can still crash the upstream.
+	canceled map[poison.Fingerprint]canceledRun
 	started  int64
 	crash    crash
 }
@@ -48,7 +48,13 @@
 // that may have caused it.
 type crash struct {
 	started  int64
-	suspects []poison.Fingerprint
+	suspects []poison.Run
+}
+
+// canceledRun is a request whose call was cancelled, and when.
+type canceledRun struct {
+	run poison.Run
+	at  time.Time
 }
 
 func newDispatcher(f *Front, u *layout.Upstream) *dispatcher {
@@ -69,8 +75,8 @@
 		client:    &http.Client{Transport: t},
 		transport: t,
 		gate:      gate.NewShared(opts...),
-		running:   make(map[uint64]poison.Fingerprint),
-		canceled:  make(map[poison.Fingerprint]time.Time),
+		running:   make(map[uint64]poison.Run),
+		canceled:  make(map[poison.Fingerprint]canceledRun),
 	}
 	d.life = life.NewUpstream(d.onStateChange)
 	d.lastUsed.Store(time.Now().UnixNano())
@@ -101,7 +107,7 @@
 func (d *dispatcher) begin(id uint64, f poison.Fingerprint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.running[id] = f
+	d.running[id] = poison.Run{Fingerprint: f, Sent: time.Now()}
 }
 
 // end removes a request from the running ones. If its call was cancelled, the
@@ -109,10 +115,10 @@
 func (d *dispatcher) end(id uint64, f poison.Fingerprint, canceled bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.running, id)
 	if canceled {
-		d.canceled[f] = time.Now()
+		d.canceled[f] = canceledRun{run: d.running[id], at: time.Now()}
 	}
+	delete(d.running, id)
 }
 
 func causeOf(r gate.Reason) search.Cause {
--- a/internal/front/health.go
+++ b/internal/front/health.go
@@ -143,22 +143,22 @@
 // crashSuspects returns the requests that may have crashed the upstream: those in
 // flight and those cancelled within canceledRetention. If a crash of the current
 // incarnation is already recorded, it returns the suspects of that crash.
-func (d *dispatcher) crashSuspects() []poison.Fingerprint {
+func (d *dispatcher) crashSuspects() []poison.Run {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.crash.started == d.started && d.crash.suspects != nil {
 		return d.crash.suspects
 	}
-	var list []poison.Fingerprint
-	for _, f := range d.running {
-		list = append(list, f)
+	var list []poison.Run
+	for _, run := range d.running {
+		list = append(list, run)
 	}
-	for f, at := range d.canceled {
-		if time.Since(at) > canceledRetention {
+	for f, c := range d.canceled {
+		if time.Since(c.at) > canceledRetention {
 			delete(d.canceled, f)
 			continue
 		}
-		list = append(list, f)
+		list = append(list, c.run)
 	}
 	return list
 }
@@ -166,7 +166,7 @@
 // crashed requests the health of the upstream after a connection to it has broken,
 // and reports whether it has crashed: the connection is refused or reset, or the
 // incarnation is a new one. It records the crash with its suspects.
-func (d *dispatcher) crashed(suspects []poison.Fingerprint) bool {
+func (d *dispatcher) crashed(suspects []poison.Run) bool {
 	before := d.incarnation()
 	ctx, cancel := context.WithTimeout(context.Background(), healthTimeout)
 	defer cancel()
@@ -189,11 +189,11 @@
 
 // recordCrash records a crash with its suspects, closes the gate and notifies the
 // other nodes.
-func (d *dispatcher) recordCrash(started int64, suspects []poison.Fingerprint) {
+func (d *dispatcher) recordCrash(started int64, suspects []poison.Run) {
 	d.mu.Lock()
 	d.crash = crash{started: started, suspects: suspects}
 	d.mu.Unlock()
-	reports := d.front.tracker.RecordCrash(d.crashID(started), suspects)
+	reports := d.front.tracker.RecordCrash(d.crashID(started), time.Now(), suspects)
 	d.applySign(life.SignCrash)
 	if len(reports) > 0 {
 		d.front.notify(peer.Notices{Reports: reports})
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -1,14 +1,16 @@
 // Package poison identifies requests that crash upstreams, and distinguishes them
 // from requests that were merely in flight at the same time.
 //
-// A request is identified by its fingerprint. A fingerprint that has completed on
-// any upstream is proven. When an upstream crashes, every unproven fingerprint in
-// flight on it becomes a suspect. Suspects run alone on an upstream, so that a
-// second crash identifies exactly one of them. A fingerprint that was in flight in
-// two separate crashes is quarantined for a bounded time:
+// A request is identified by its fingerprint. A fingerprint that has completed on any
+// upstream is proven. When an upstream crashes, every unproven fingerprint in flight
+// on it becomes a suspect, and a success clears it. A fingerprint is quarantined for a
+// bounded time after two trials that ended in a crash, if it was the only suspect of
+// one of them, and after three trials otherwise. A trial is a send that began after
+// the crash of the trial before: crashes at the same moment, such as those of a failure
+// domain or of all shards of one search, are one trial.
 //
 //	t := poison.New()
-//	reports := t.RecordCrash("seat-finder-3-a/1", inFlight)
+//	reports := t.RecordCrash("seat-finder-3-a/1", crashedAt, inFlight)
 //	switch t.Verdict(fingerprint) { case poison.Quarantined: … }
 //
 // Reports are small and idempotent. Nodes send them to each other and pass the
@@ -23,7 +25,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 )
 
-//go:generate go tool stringer -type Verdict -linecomment
+//go:generate go tool stringer -type Verdict,Kind -linecomment -output enums_string.go
 
 // Verdict classifies a fingerprint.
 type Verdict uint8
@@ -36,7 +38,7 @@
 	Quarantined                // quarantined
 )
 
-// Fingerprint identifies equal requests, regardless of the sender.
+// Fingerprint identifies equal requests.
 type Fingerprint uint64
 
 // FingerprintOf computes the fingerprint of a request from its body and other parts.
@@ -51,32 +53,33 @@
 	return Fingerprint(d.Sum64())
 }
 
-// Report records that one fingerprint was in flight in one crash.
-type Report struct {
-	Fingerprint Fingerprint `msgpack:"f"`
-	// Crash identifies the crash by the upstream and the start time of its
-	// process.
-	Crash string    `msgpack:"c"`
-	At    time.Time `msgpack:"t"`
+// Run is a request that was in flight on an upstream, and when it was sent there.
+type Run struct {
+	Fingerprint Fingerprint
+	Sent        time.Time
 }
 
 const (
 	defaultRetention = 10 * time.Minute
-	defaultProven    = 1 << 16
-	defaultRecords   = 1 << 14
-	// quarantineCrashes is the number of separate crashes after which a
-	// fingerprint is quarantined.
-	quarantineCrashes = 2
+	// maxQuarantine bounds a quarantine that repeated requests prolong. It counts
+	// from the last crash.
+	maxQuarantine  = 24 * time.Hour
+	defaultProven  = 1 << 16
+	defaultRecords = 1 << 14
 )
 
 // Tracker records the crashes and the proven fingerprints known to one node. It is
 // safe for concurrent use.
 type Tracker struct {
 	retention time.Duration
-	proven    *lru.Cache[Fingerprint, struct{}]
-	records   *lru.Cache[Fingerprint, []Report]
-
-	mu sync.Mutex
+	// proven maps a fingerprint to the time of its last success.
+	proven  *lru.Cache[Fingerprint, time.Time]
+	records *lru.Cache[Fingerprint, record]
+	// crashes holds the suspects of each crash.
+	crashes *lru.Cache[string, suspects]
+
+	mu      sync.Mutex
+	claimed map[Fingerprint]bool
 }
 
 // Option configures a Tracker at construction.
@@ -88,8 +91,9 @@
 	records   int
 }
 
-// WithRetention sets how long a crash counts against a fingerprint, and therefore
-// how long a quarantine lasts. The default is 10 minutes.
+// WithRetention sets how long a crash counts against a fingerprint, and therefore how
+// long a quarantine lasts after the last crash or the last rejected request. The
+// default is 10 minutes.
 func WithRetention(d time.Duration) Option { return func(o *options) { o.retention = d } }
 
 // WithProven sets the maximum number of recorded proven fingerprints. The default
@@ -102,14 +106,17 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	t := &Tracker{retention: o.retention}
-	t.proven = newCache[struct{}](o.proven)
-	t.records = newCache[[]Report](o.records)
-	return t
+	return &Tracker{
+		retention: o.retention,
+		proven:    newCache[Fingerprint, time.Time](o.proven),
+		records:   newCache[Fingerprint, record](o.records),
+		crashes:   newCache[string, suspects](o.records),
+		claimed:   make(map[Fingerprint]bool),
+	}
 }
 
-func newCache[V any](size int) *lru.Cache[Fingerprint, V] {
-	c, err := lru.New[Fingerprint, V](max(size, 1))
+func newCache[K comparable, V any](size int) *lru.Cache[K, V] {
+	c, err := lru.New[K, V](max(size, 1))
 	if err != nil {
 		panic("poison: create LRU cache: " + err.Error())
 	}
@@ -119,101 +126,115 @@
 // Verdict returns the classification of the fingerprint. Crashes take precedence
 // over proof.
 func (t *Tracker) Verdict(f Fingerprint) Verdict {
-	if n := t.crashes(f); n >= quarantineCrashes {
+	proven := t.proven.Contains(f)
+	switch trials, alone := t.count(f); {
+	case trials >= crashesToConvict, trials >= crashesAlone && alone && !proven:
 		return Quarantined
-	} else if n > 0 {
+	case trials > 0:
 		return Suspect
-	}
-	if t.proven.Contains(f) {
+	case proven:
 		return Proven
 	}
 	return Novel
 }
 
-func (t *Tracker) crashes(f Fingerprint) int {
+// count returns the number of trials of the fingerprint that ended in a crash, and
+// whether it was the only suspect of one of them.
+func (t *Tracker) count(f Fingerprint) (trials int, alone bool) {
 	if t.records.Len() == 0 {
-		return 0
+		return 0, false
 	}
-	list, ok := t.records.Peek(f)
-	if !ok {
-		return 0
+	r, ok := t.records.Peek(f)
+	if !ok || r.expired(time.Now(), t.retention) {
+		return 0, false
 	}
-	n := 0
-	for _, r := range list {
-		if time.Since(r.At) < t.retention {
-			n++
-		}
-	}
-	return n
+	return r.count(func(crash string) bool {
+		s, known := t.crashes.Peek(crash)
+		return known && !s.several
+	})
+}
+
+// Succeeded reports whether a request with the fingerprint has completed since the
+// given time.
+func (t *Tracker) Succeeded(f Fingerprint, since time.Time) bool {
+	at, ok := t.proven.Peek(f)
+	return ok && at.After(since)
 }
 
-// RecordCrash records a crash with the fingerprints in flight and returns the
-// reports that other nodes should merge. Proven fingerprints are excluded, unless
-// they ran alone.
-func (t *Tracker) RecordCrash(crash string, inFlight []Fingerprint) []Report {
+// RecordCrash records a crash at the given time with the requests in flight and
+// returns the reports that other nodes should merge. Proven fingerprints are excluded, unless they ran
+// alone. The crash is identified by the upstream and the start time of its process.
+func (t *Tracker) RecordCrash(crash string, at time.Time, inFlight []Run) []Report {
+	age := max(time.Since(at), 0)
 	var reports []Report
-	for _, f := range inFlight {
-		if len(inFlight) > 1 && t.proven.Contains(f) {
+	for _, run := range inFlight {
+		if len(inFlight) > 1 && t.proven.Contains(run.Fingerprint) {
 			continue
 		}
-		reports = append(reports, Report{Fingerprint: f, Crash: crash, At: time.Now()})
+		reports = append(reports, Report{Kind: Crashed, Fingerprint: run.Fingerprint, Crash: crash, Age: age, Ran: max(at.Sub(run.Sent), 0)})
 	}
 	t.Merge(reports)
 	return reports
 }
 
-// Merge adds reports from other nodes. A report that is already recorded has no
-// effect.
-func (t *Tracker) Merge(reports []Report) {
+// RecordSuccess records that a request with the fingerprint completed, which clears
+// a suspect but not a quarantined fingerprint. It returns the reports that other
+// nodes should merge.
+func (t *Tracker) RecordSuccess(f Fingerprint) []Report {
+	now := time.Now()
+	if t.records.Len() == 0 {
+		t.proven.Add(f, now)
+		return nil
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, r := range reports {
-		t.add(r)
+	if t.Verdict(f) == Quarantined {
+		return nil
 	}
+	t.proven.Add(f, now)
+	r, ok := t.records.Peek(f)
+	if !ok || len(r.trials) == 0 {
+		return nil
+	}
+	t.records.Add(f, record{clearedAt: now})
+	return []Report{{Kind: Cleared, Fingerprint: f}}
 }
 
-func (t *Tracker) add(r Report) {
-	if time.Since(r.At) >= t.retention {
-		return
-	}
-	list, _ := t.records.Peek(r.Fingerprint)
-	next := make([]Report, 0, len(list)+1)
-	for _, known := range list {
-		if known.Crash == r.Crash {
-			return
-		}
-		if time.Since(known.At) < t.retention {
-			next = append(next, known)
-		}
+// Remaining returns how long the quarantine of the fingerprint lasts, provided that no
+// further request with it arrives.
+func (t *Tracker) Remaining(f Fingerprint) time.Duration {
+	r, ok := t.records.Peek(f)
+	if !ok {
+		return 0
 	}
-	t.records.Add(r.Fingerprint, append(next, r))
+	return max(time.Until(r.expiry(t.retention)), 0)
 }
 
-// RecordSuccess records that a request with the fingerprint completed, which clears
-// a suspect but not a quarantined fingerprint.
-func (t *Tracker) RecordSuccess(f Fingerprint) {
-	if t.proven.Contains(f) && t.records.Len() == 0 {
-		return
-	}
+// RecordRejection records that a quarantined request has been rejected. Its quarantine
+// lasts for the retention from now, because it is still being sent, but at most
+// maxQuarantine from the last crash.
+func (t *Tracker) RecordRejection(f Fingerprint) {
+	t.Merge([]Report{{Kind: Rejected, Fingerprint: f}})
+}
+
+// Claim reports whether a suspect may be sent now, and reserves it if so. Equal
+// requests run one at a time while they are under suspicion. The caller must call
+// Release afterward.
+func (t *Tracker) Claim(f Fingerprint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.crashes(f) >= quarantineCrashes {
-		return
+	if t.claimed[f] {
+		return false
 	}
-	t.records.Remove(f)
-	t.proven.Add(f, struct{}{})
+	t.claimed[f] = true
+	return true
 }
 
-// Reports returns all recorded crash reports, for a node that has just started.
-func (t *Tracker) Reports() []Report {
+// Release ends a reservation by Claim.
+func (t *Tracker) Release(f Fingerprint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var all []Report
-	for _, f := range t.records.Keys() {
-		list, _ := t.records.Peek(f)
-		all = append(all, list...)
-	}
-	return all
+	delete(t.claimed, f)
 }
 
 // Counts returns the number of suspect and of quarantined fingerprints.
--- /dev/null
+++ b/pkg/poison/report.go
@@ -0,0 +1,109 @@
+package poison
+
+import "time"
+
+// Kind is what a Report says of a fingerprint.
+type Kind uint8
+
+// The kinds of reports.
+const (
+	Crashed  Kind = iota // crashed
+	Cleared              // cleared
+	Rejected             // rejected
+)
+
+// Report is evidence about one fingerprint that nodes exchange: it was in flight in
+// one crash, it completed while under suspicion, or it was rejected. Times are given
+// as ages, because the clocks of nodes differ.
+type Report struct {
+	Kind        Kind        `msgpack:"k"`
+	Fingerprint Fingerprint `msgpack:"f"`
+	// Crash identifies the crash by the upstream and the start time of its
+	// process. Reports of other kinds leave it empty.
+	Crash string `msgpack:"c"`
+	// Age is how long ago it happened, and Ran how long before a crash the
+	// request was sent.
+	Age time.Duration `msgpack:"a"`
+	Ran time.Duration `msgpack:"r"`
+}
+
+// Merge adds reports and returns those that were not known. Reports from other nodes
+// must be merged when they are received, because they hold ages.
+func (t *Tracker) Merge(reports []Report) []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	var added []Report
+	for _, r := range reports {
+		if t.add(r, now) {
+			added = append(added, r)
+		}
+	}
+	return added
+}
+
+// add must be called with mu held. It reports whether the report was not known.
+func (t *Tracker) add(r Report, now time.Time) bool {
+	old, _ := t.records.Peek(r.Fingerprint)
+	if old.expired(now, t.retention) {
+		old = record{clearedAt: old.clearedAt}
+	}
+	at := now.Add(-max(r.Age, 0))
+	next, added := old, false
+	switch r.Kind {
+	case Crashed:
+		next, added = old.with(trial{crash: r.Crash, sent: at.Add(-max(r.Ran, 0)), ended: at})
+	case Cleared:
+		next, added = old.cleared(at)
+	case Rejected:
+		next, added = old.rejected(at)
+	}
+	if !added || next.expired(now, t.retention) {
+		return false
+	}
+	if r.Kind == Crashed {
+		t.addSuspect(r.Crash, r.Fingerprint)
+	}
+	t.records.Add(r.Fingerprint, next)
+	return true
+}
+
+func (t *Tracker) addSuspect(crash string, f Fingerprint) {
+	s, known := t.crashes.Peek(crash)
+	if !known {
+		s.first = f
+	}
+	s.several = s.several || s.first != f
+	t.crashes.Add(crash, s)
+}
+
+// Reports returns the evidence that has not expired, the newest records first, for
+// nodes that lack it.
+func (t *Tracker) Reports() []Report {
+	keys := t.records.Keys() // the least recently changed first
+	var all []Report
+	for i := len(keys) - 1; i >= 0; i-- {
+		all = append(all, t.ReportsOf(keys[i])...)
+	}
+	return all
+}
+
+// ReportsOf returns the evidence about one fingerprint that has not expired.
+func (t *Tracker) ReportsOf(f Fingerprint) []Report {
+	now := time.Now()
+	r, ok := t.records.Peek(f)
+	if !ok || r.expired(now, t.retention) {
+		return nil
+	}
+	var list []Report
+	if !r.clearedAt.IsZero() {
+		list = append(list, Report{Kind: Cleared, Fingerprint: f, Age: now.Sub(r.clearedAt)})
+	}
+	for _, tr := range r.trials {
+		list = append(list, Report{Kind: Crashed, Fingerprint: f, Crash: tr.crash, Age: now.Sub(tr.ended), Ran: tr.ended.Sub(tr.sent)})
+	}
+	if !r.rejectedAt.IsZero() {
+		list = append(list, Report{Kind: Rejected, Fingerprint: f, Age: now.Sub(r.rejectedAt)})
+	}
+	return list
+}
