relay: stop requests that crash upstreams

What callers saw: a request that ends each server that runs it reached servers as long as its caller sent it (BUDGET), at every node, and all replicas of all shards of a search within a millisecond. Other callers got 503 while the servers were down.

Cause: nothing on the relay path remembers what a request did. Each attempt of the caller is a new request at every node; the legs of a search, its retries and the nodes that gather for another decide alone.

Change, one decision (pkg/poison) for every path: - A node rejects a quarantined request at once, as not run, with the rest of the quarantine as Retry-After, before any send, retry or hedge, for single requests, searches and the legs that it gathers for another node. - A suspect goes to one upstream at a time, one equal request at a time. While connections of a request break and no upstream has run it to its end, pkg/fanout sends it to one upstream at a time and pauses after each crash until the upstream has been checked. - Nodes share reports by datagram: at once, and one exchange a second with one node, which repairs losses and informs nodes that restart. - A crash counts only if the upstream refuses connections afterward. Broken connections, timeouts and upstreams that still listen count for nothing.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,6 +32,7 @@
 	"geraniumstep.org/geraniumstep/pkg/gather"
 	"geraniumstep.org/geraniumstep/pkg/life"
 	"geraniumstep.org/geraniumstep/pkg/member"
+	"geraniumstep.org/geraniumstep/pkg/poison"
 	"geraniumstep.org/geraniumstep/pkg/retry"
 )
 
@@ -60,6 +61,7 @@
 	self     member.Record
 	life     *life.Node
 	registry *prometheus.Registry
+	crashes  *poison.Tracker
 
 	callers net.Listener
 	ready   net.Listener
@@ -77,7 +79,7 @@
 // New returns a daemon that listens on the configured addresses. It serves nothing
 // until Run is called.
 func New(settings setup.Relay, dialect proto.Dialect, source follow.Source, opts ...Option) (*Daemon, error) {
-	d := &Daemon{settings: settings, source: source, log: logrus.NewEntry(logrus.StandardLogger()), registry: prometheus.NewRegistry(), drained: make(chan struct{})}
+	d := &Daemon{settings: settings, source: source, log: logrus.NewEntry(logrus.StandardLogger()), registry: prometheus.NewRegistry(), crashes: poison.New(), drained: make(chan struct{})}
 	for _, opt := range opts {
 		opt(d)
 	}
@@ -86,6 +88,7 @@
 		relay.WithLog(d.log),
 		relay.WithLocality(settings.FailureDomain, settings.Regions),
 		relay.WithBudget(retry.WithRatio(b.Ratio), retry.WithAllowance(b.Allowance), retry.WithWindow(b.Window)),
+		relay.WithCrashes(d.crashes, d.shareCrashes),
 		relay.WithRegistry(d.registry),
 	)
 	d.engine.SetNodes(b.Nodes, b.Nodes)
@@ -116,11 +119,14 @@
 	d.self = self
 	d.mesh = mesh.New(self, l, packets, d.state, link.Dial,
 		mesh.WithSeeds(d.settings.Peers), mesh.WithFirstStart(d.settings.FirstStart), mesh.WithLog(d.log), mesh.WithChanged(d.membersChanged),
-		mesh.WithService(relay.GatherService, d.engine.Gatherer()))
+		mesh.WithService(relay.GatherService, d.engine.Gatherer()), mesh.WithEvidence(d.crashes))
 	d.state.publish, d.state.bestStoreAge = d.mesh.Publish, d.mesh.BestStoreAge
 	return nil
 }
 
+// shareCrashes sends reports of crashed upstreams to the other nodes.
+func (d *Daemon) shareCrashes(reports []poison.Report) { d.mesh.Share(reports) }
+
 // membersChanged divides the budget and the connections among all known nodes, and
 // selects the gatherers, which send shard requests for the other nodes. Dead nodes
 // still count for the budget, because what they spent is still within the window.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -72,6 +72,7 @@
 	peers        *peer.Peers
 	server       *rpc.Server
 	changed      func(records []member.Record)
+	evidence     Evidence
 
 	mu         sync.Mutex
 	tracker    *member.Tracker
@@ -86,11 +87,14 @@
 	// whether it reported the store as failing. Only Run uses them.
 	lastHeartbeat   time.Time
 	reportedFailing bool
-	pulling         [2]atomic.Bool
-	syncing         atomic.Bool
-	tasks           tasks.Group
-	work            context.Context
-	stop            context.CancelFunc
+	started         time.Time
+	// lastExchange is when crash reports were last exchanged. Only Run uses it.
+	lastExchange time.Time
+	pulling      [2]atomic.Bool
+	syncing      atomic.Bool
+	tasks        tasks.Group
+	work         context.Context
+	stop         context.CancelFunc
 }
 
 // Option configures a Mesh at construction.
@@ -143,7 +147,8 @@
 	for _, opt := range opts {
 		opt(m)
 	}
-	m.readerSeen = time.Now()
+	m.started = time.Now()
+	m.readerSeen = m.started
 	if !m.isSeed() {
 		m.readerSeen = m.readerSeen.Add(m.startupDelay)
 	}
@@ -173,6 +178,7 @@
 		}
 		m.updateReader()
 		m.heartbeatIfDue(now)
+		m.exchangeIfDue(now)
 		select {
 		case <-ctx.Done():
 			m.close()
@@ -269,6 +275,9 @@
 		if d.Heartbeat != nil {
 			m.receiveHeartbeat(*d.Heartbeat)
 		}
+		if d.Crashes != nil {
+			m.receiveReports(*d.Crashes)
+		}
 	}
 }
 
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -235,5 +235,8 @@
 		if d.Heartbeat != nil {
 			m.receiveHeartbeat(*d.Heartbeat)
 		}
+		if d.Crashes != nil {
+			m.receiveReports(*d.Crashes)
+		}
 	})
 }
--- a/internal/mesh/types.go
+++ b/internal/mesh/types.go
@@ -65,10 +65,11 @@
 	StoreFailing time.Duration `msgpack:"f,omitempty"`
 }
 
-// datagram is one UDP message: either a membership message or a heartbeat.
+// datagram is one UDP message: a membership message, a heartbeat or crash reports.
 type datagram struct {
 	Message   *member.Message `msgpack:"m,omitempty"`
 	Heartbeat *heartbeat      `msgpack:"b,omitempty"`
+	Crashes   *crashReports   `msgpack:"c,omitempty"`
 }
 
 // Views carries a full membership view.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"geraniumstep.org/geraniumstep/internal/link"
@@ -98,6 +100,9 @@
 	c, err := u.pool.Connect(r.engine.baseCtx)
 	if err != nil {
 		u.stats.Failed()
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			r.engine.connectionRefused(u)
+		}
 		return attemptDone{attempt: a, notRun: true, unsent: true, cause: "dial", err: err}, gate.OutcomeCanceled
 	}
 	if !a.setConn(c) || !r.permits.acquire() {
@@ -127,14 +132,15 @@
 	if err != nil {
 		if a.isCanceled() {
 			stats.Abandoned(took)
+			a.upstream.crash.addCanceled(r.newSuspect(took))
 			return attemptDone{attempt: a, cause: "given_up"}, gate.OutcomeCanceled
 		}
 		stats.Failed()
-		if closedByUpstream(err) {
-			now := time.Now()
-			r.engine.connectionBroke(a.upstream, suspect{fingerprint: r.fingerprint, request: r.req.ID, sentAt: now.Add(-took), brokeAt: now})
+		broken := closedByUpstream(err)
+		if broken {
+			r.engine.connectionBroke(a.upstream, r.newSuspect(took))
 		}
-		return attemptDone{attempt: a, cause: "broken", err: err}, gate.OutcomeCanceled
+		return attemptDone{attempt: a, cause: "broken", broken: broken, err: err}, gate.OutcomeCanceled
 	}
 	if res.Reply().HasLoad {
 		stats.LoadReported(res.Reply().Running, res.Reply().Waiting)
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -25,12 +26,21 @@
 	crashConfirmDelay = 50 * time.Millisecond
 )
 
+// canceledRetention is how long after its cancellation an attempt remains a suspect. An
+// upstream may have begun to run it before it noticed the closed connection.
+const canceledRetention = 500 * time.Millisecond
+
 // suspect is an attempt that was in flight when its connection broke.
 type suspect struct {
-	fingerprint poison.Fingerprint
-	request     string
-	sentAt      time.Time
-	brokeAt     time.Time
+	run     poison.Run
+	request string
+	brokeAt time.Time
+}
+
+// newSuspect returns the run's attempt whose connection broke after the given time.
+func (r *run) newSuspect(after time.Duration) suspect {
+	now := time.Now()
+	return suspect{run: poison.Run{Fingerprint: r.fingerprint, Sent: now.Add(-after)}, request: r.req.ID, brokeAt: now}
 }
 
 // crashCheck collects the suspects of one upstream until it is known whether the
@@ -38,9 +48,39 @@
 type crashCheck struct {
 	mu       sync.Mutex
 	suspects []suspect
+	// canceled holds attempts that this node canceled, the oldest first.
+	canceled []suspect
 	running  bool
 }
 
+// addCanceled records an attempt that was canceled after it had been sent.
+func (c *crashCheck) addCanceled(s suspect) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dropExpired()
+	c.canceled = append(c.canceled, s)
+}
+
+// dropExpired must be called with mu held.
+func (c *crashCheck) dropExpired() {
+	for len(c.canceled) > 0 && time.Since(c.canceled[0].brokeAt) > canceledRetention {
+		c.canceled = c.canceled[1:]
+	}
+}
+
+// startForCanceled reports whether attempts were canceled recently, in which case the
+// caller must start a check.
+func (c *crashCheck) startForCanceled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dropExpired()
+	if c.running || len(c.canceled) == 0 {
+		return false
+	}
+	c.running = true
+	return true
+}
+
 // add adds a suspect and reports whether the caller must start a check.
 func (c *crashCheck) add(s suspect) bool {
 	c.mu.Lock()
@@ -55,8 +95,9 @@
 func (c *crashCheck) take() []suspect {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := c.suspects
-	c.suspects = nil
+	c.dropExpired()
+	list := append(c.suspects, c.canceled...)
+	c.suspects, c.canceled = nil, nil
 	c.running = len(list) > 0
 	return list
 }
@@ -75,21 +116,42 @@
 // connectionBroke records that the upstream closed the connection of an attempt
 // without a response, and checks whether it has crashed.
 func (e *Engine) connectionBroke(u *upstream, s suspect) {
-	if !u.crash.add(s) {
-		return
+	if u.crash.add(s) {
+		e.startCrashCheck(u)
 	}
+}
+
+// connectionRefused checks whether the upstream has crashed under an attempt that this
+// node canceled.
+func (e *Engine) connectionRefused(u *upstream) {
+	if u.crash.startForCanceled() {
+		e.startCrashCheck(u)
+	}
+}
+
+func (e *Engine) startCrashCheck(u *upstream) {
 	e.tasks.Go(func() {
 		for tasks.Sleep(e.baseCtx, crashCheckDelay) {
 			suspects := u.crash.take()
 			if len(suspects) == 0 {
 				return
 			}
-			e.checkCrash(u, suspects)
+			suspects = slices.DeleteFunc(suspects, e.hasSucceededSince)
+			if len(suspects) > 0 {
+				e.checkCrash(u, suspects)
+			}
 		}
 	})
 }
 
-// checkCrash connects to the upstream to find out whether it still listens.
+// hasSucceededSince reports whether an equal request has completed since the suspect was
+// sent.
+func (e *Engine) hasSucceededSince(s suspect) bool {
+	return e.tracker.Succeeded(s.run.Fingerprint, s.run.Sent)
+}
+
+// checkCrash connects to the upstream to find out whether it still listens, and
+// reports a crash with the requests that may have caused it.
 func (e *Engine) checkCrash(u *upstream, suspects []suspect) {
 	err := u.probe(e.baseCtx)
 	crashed := errors.Is(err, syscall.ECONNREFUSED)
@@ -104,10 +166,36 @@
 	fields := logrus.Fields{"upstream": u.entry.ID(), "service": u.entry.Service(), "outcome": outcome}
 	for _, s := range suspects {
 		e.log.WithFields(fields).WithFields(logrus.Fields{
-			"request": s.request, "fingerprint": formatFingerprint(s.fingerprint), "in_flight": len(suspects),
-			"ran_ms": s.brokeAt.Sub(s.sentAt).Milliseconds(),
+			"request": s.request, "fingerprint": formatFingerprint(s.run.Fingerprint), "in_flight": len(suspects),
+			"ran_ms": s.brokeAt.Sub(s.run.Sent).Milliseconds(),
 		}).Info("relay: upstream closed the connection of a request without a response.")
 	}
+	if crashed {
+		e.recordCrash(u, suspects)
+	}
+}
+
+// recordCrash reports a crash of the upstream to this node's tracker and to the other
+// nodes.
+func (e *Engine) recordCrash(u *upstream, suspects []suspect) {
+	var inFlight []poison.Run
+	at := suspects[0].brokeAt
+	for _, s := range suspects {
+		inFlight = append(inFlight, s.run)
+		if s.brokeAt.Before(at) {
+			at = s.brokeAt
+		}
+	}
+	reports := e.tracker.RecordCrash(u.incarnation(), at, inFlight)
+	for _, r := range reports {
+		if v := e.tracker.Verdict(r.Fingerprint); v == poison.Quarantined {
+			e.log.WithFields(logrus.Fields{
+				"fingerprint": formatFingerprint(r.Fingerprint), "upstream": u.entry.ID(),
+				"remaining_s": e.tracker.Remaining(r.Fingerprint).Seconds(),
+			}).Warn("relay: request is quarantined, because it crashes upstreams.")
+		}
+	}
+	e.share(reports)
 }
 
 // probe opens a connection to the upstream and returns an error if that fails or the
--- a/internal/relay/deps.go
+++ b/internal/relay/deps.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"geraniumstep.org/geraniumstep/pkg/fanout"
+	"geraniumstep.org/geraniumstep/pkg/poison"
 	"geraniumstep.org/geraniumstep/pkg/retry"
 )
 
@@ -48,6 +49,11 @@
 // SpendNeeded implements fanout.Deps.
 func (r *run) SpendNeeded(service string) bool { return r.spend(service, retry.Needed) }
 
+// Blocked implements fanout.Deps.
+func (r *run) Blocked() bool {
+	return r.engine.tracker.Verdict(r.fingerprint) == poison.Quarantined
+}
+
 // countFirst counts a first attempt by this node, which adds to the budget.
 func (r *run) countFirst(service string) { r.extraBudget().Count(service, 1) }
 
--- a/internal/relay/do.go
+++ b/internal/relay/do.go
@@ -41,7 +41,7 @@
 		return proto.NoRoute{}
 	}
 	r := e.newRun(req, route, routes.Version())
-	answer := r.admitAndExecute(ctx)
+	answer := r.screenAndExecute(ctx)
 	r.log(answer)
 	return answer
 }
@@ -116,6 +116,9 @@
 	case fanout.OutcomeFailed, fanout.OutcomeExpired:
 	}
 	if r.permits.close() {
+		if r.Blocked() {
+			return r.quarantined()
+		}
 		if r.peerRetryAfter > 0 {
 			return proto.Refused{Reason: "queues are longer than the target", RetryAfter: r.peerRetryAfter}
 		}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -26,6 +26,7 @@
 	"geraniumstep.org/geraniumstep/pkg/fleet"
 	"geraniumstep.org/geraniumstep/pkg/gate"
 	"geraniumstep.org/geraniumstep/pkg/place"
+	"geraniumstep.org/geraniumstep/pkg/poison"
 	"geraniumstep.org/geraniumstep/pkg/retry"
 	"geraniumstep.org/geraniumstep/pkg/split"
 	"geraniumstep.org/geraniumstep/pkg/vhost"
@@ -45,8 +46,11 @@
 	budget      *retry.Budget
 	shardBudget *retry.Budget
 	splitter    *split.Splitter
-	metrics     *metrics
-	tickets     atomic.Uint64
+	tracker     *poison.Tracker
+	// share sends crash reports to the other nodes.
+	share   func([]poison.Report)
+	metrics *metrics
+	tickets atomic.Uint64
 
 	peers         atomic.Pointer[peers]
 	gatherCancels sync.Map // maps the ID of a gather for another node to its cancel function
@@ -97,6 +101,12 @@
 	return func(e *Engine) { e.budget, e.shardBudget = retry.New(opts...), retry.New(opts...) }
 }
 
+// WithCrashes sets the tracker of requests that crash upstreams and the function that
+// sends its reports to the other nodes. By default the node has a tracker of its own.
+func WithCrashes(t *poison.Tracker, share func([]poison.Report)) Option {
+	return func(e *Engine) { e.tracker, e.share = t, share }
+}
+
 // WithRegistry registers the metrics. By default they are not registered.
 func WithRegistry(r prometheus.Registerer) Option {
 	return func(e *Engine) { r.MustRegister(e.metrics.all()...) }
@@ -107,6 +117,7 @@
 	e := &Engine{
 		dialect: d, log: logrus.NewEntry(logrus.StandardLogger()), dial: link.Dial,
 		budget: retry.New(), shardBudget: retry.New(), splitter: split.New(), metrics: newMetrics(),
+		tracker: poison.New(), share: func([]poison.Report) {},
 	}
 	e.nodes.Store(1)
 	e.gatherers.Store(1)
--- a/internal/relay/gathercall.go
+++ b/internal/relay/gathercall.go
@@ -29,6 +29,9 @@
 	Version  uint64        `msgpack:"v"`
 	// Fingerprint identifies equal requests of the same caller.
 	Fingerprint poison.Fingerprint `msgpack:"f"`
+	// Cautious reports that the caller's node suspects the request of crashing
+	// upstreams.
+	Cautious bool `msgpack:"c,omitempty"`
 }
 
 // GatherReply holds the merged responses of the shards of a GatherCall.
@@ -45,6 +48,10 @@
 	// if the node rejected the call because of load.
 	NotRun     bool          `msgpack:"n"`
 	RetryAfter time.Duration `msgpack:"r"`
+	// InDoubt reports that upstreams closed connections without a response and
+	// none ran the request to its end. Crashes holds what is known of that.
+	InDoubt bool            `msgpack:"x,omitempty"`
+	Crashes []poison.Report `msgpack:"c,omitempty"`
 	// Took is how long the called node worked on the call.
 	Took time.Duration `msgpack:"t"`
 }
--- a/internal/relay/gatherer.go
+++ b/internal/relay/gatherer.go
@@ -28,6 +28,13 @@
 	g.engine.gatherCancels.Store(call.ID, cancel)
 	defer g.engine.gatherCancels.Delete(call.ID)
 	r := g.engine.gatherRun(call)
+	rejected, release := r.screen()
+	if rejected != nil {
+		reply.NotRun, reply.RetryAfter, reply.Crashes = true, rejected.RetryAfter, g.engine.tracker.ReportsOf(r.fingerprint)
+		r.log(*rejected)
+		return nil
+	}
+	defer release()
 	if reject, ok := r.admission(time.Now()).(admit.Reject); ok {
 		reply.NotRun, reply.RetryAfter = true, reject.RetryAfter
 		r.verdict = "rejected"
@@ -62,9 +69,9 @@
 		vhost.WithTimeout(call.Deadline), vhost.WithTarget(call.Soft))
 	return &run{
 		engine: e, req: req, route: route, version: call.Version, fingerprint: call.Fingerprint, directory: e.upstreams.Load(),
-		gather: true, topK: call.TopK, hops: call.Hops,
+		gather: true, topK: call.TopK, hops: call.Hops, cautious: call.Cautious,
 		plan: fanout.Plan{
-			Services: call.Services, MinAnswered: max(call.MinLegs, 1), MaxAttempts: max(call.Attempts, 1), Idempotent: true,
+			Cautious: call.Cautious, Services: call.Services, MinAnswered: max(call.MinLegs, 1), MaxAttempts: max(call.Attempts, 1), Idempotent: true,
 			SoftDeadline: now.Add(call.Soft), Deadline: now.Add(call.Deadline),
 		},
 	}
@@ -92,6 +99,9 @@
 	for i := range r.plan.Services {
 		reply.Reached = append(reply.Reached, r.machine.Reached(i))
 	}
+	if reply.InDoubt = r.machine.InDoubt(); reply.InDoubt {
+		reply.Crashes = r.engine.tracker.ReportsOf(r.fingerprint)
+	}
 	reply.NotRun = r.permits.close() && len(reply.Legs) == 0
 	var answer proto.Answer = proto.Merged{Missing: len(r.plan.Services) - len(reply.Legs)}
 	if reply.NotRun {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -9,10 +9,13 @@
 	sends    *prometheus.CounterVec
 	failures *prometheus.CounterVec
 	broken   *prometheus.CounterVec
-	denied   prometheus.Counter
-	latency  *prometheus.HistogramVec
-	upstream prometheus.Histogram
-	version  prometheus.Gauge
+	// quarantined counts requests that were rejected because equal ones have
+	// crashed upstreams.
+	quarantined prometheus.Counter
+	denied      prometheus.Counter
+	latency     *prometheus.HistogramVec
+	upstream    prometheus.Histogram
+	version     prometheus.Gauge
 }
 
 // latencyBuckets range from the response time of a healthy upstream to the longest
@@ -29,6 +32,8 @@
 			Name: "geraniumstep_relay_failures_total", Help: "Failed attempts by cause."}, []string{"cause"}),
 		broken: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "geraniumstep_relay_broken_total", Help: "Attempts whose connection the upstream closed without a response, by the state of the upstream after that."}, []string{"state"}),
+		quarantined: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "geraniumstep_relay_quarantined_total", Help: "Requests rejected because equal ones have crashed upstreams."}),
 		denied: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "geraniumstep_relay_extra_denied_total", Help: "Hedges and retries that the budget did not allow."}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -41,5 +46,5 @@
 }
 
 func (m *metrics) all() []prometheus.Collector {
-	return []prometheus.Collector{m.requests, m.sends, m.failures, m.broken, m.denied, m.latency, m.upstream, m.version}
+	return []prometheus.Collector{m.requests, m.sends, m.failures, m.broken, m.quarantined, m.denied, m.latency, m.upstream, m.version}
 }
--- a/internal/relay/peergroup.go
+++ b/internal/relay/peergroup.go
@@ -67,8 +67,13 @@
 	}
 	if r.hops == 0 && !p.set.Gathers() {
 		r.addGroup(p.call, p.pick(p.set.Local()), r.plan.Services)
+		// A peer that takes all legs is cautious in this node's place.
+		r.plan.Cautious = r.cautious && len(r.groups) == 0
 		return
 	}
+	if r.cautious {
+		return // the first upstream's result decides about all other sends
+	}
 	var chosen []*peerNode
 	services := make(map[*peerNode][]string)
 	for _, set := range r.remoteSets() {
@@ -133,7 +138,7 @@
 	return &GatherCall{
 		ID: g.id, Request: r.req.ID, Route: r.route.Name(), Method: r.req.Method, Host: r.req.Host, Target: r.req.Target,
 		Header: r.endToEnd(), Body: r.req.Body, Services: g.services, TopK: r.topK, MinLegs: minLegs,
-		Attempts: r.plan.MaxAttempts, Priority: r.route.Priority(), Hops: r.hops + 1, Version: r.version, Fingerprint: r.fingerprint,
+		Attempts: r.plan.MaxAttempts, Priority: r.route.Priority(), Hops: r.hops + 1, Version: r.version, Fingerprint: r.fingerprint, Cautious: r.cautious,
 		Soft: soft.Sub(now), Deadline: r.plan.Deadline.Sub(now) - replyMargin,
 	}
 }
@@ -148,7 +153,11 @@
 		r.permits.release()
 		r.peerRetryAfter = max(r.peerRetryAfter, d.reply.RetryAfter)
 	}
+	r.engine.tracker.Merge(d.reply.Crashes)
 	g.applyReply(d, r.plan.Services)
+	if len(d.reply.Legs) > 0 {
+		r.recordSuccess()
+	}
 	if d.err == nil && d.reply.RetryAfter > 0 && len(g.services) == len(r.plan.Services) {
 		return fanout.OutcomeFailed, true
 	}
@@ -202,7 +211,7 @@
 	for _, n := range g.attempts {
 		k := reached[r.plan.Services[fanout.Leg(n)]]
 		var ev fanout.Event = fanout.Failed{
-			Attempt: n, NotRun: unsent || d.reply.NotRun, Unsent: unsent || k == 0, Unreached: r.plan.MaxAttempts - k,
+			Attempt: n, NotRun: unsent || d.reply.NotRun, Broken: d.reply.InDoubt, Unsent: unsent || k == 0, Unreached: r.plan.MaxAttempts - k,
 		}
 		if g.legs[fanout.Leg(n)] {
 			ev = fanout.Answered{Attempt: n}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -35,10 +35,12 @@
 	version uint64
 	// fingerprint identifies equal requests of the same caller.
 	fingerprint poison.Fingerprint
-	directory   *directory
-	plan        fanout.Plan
-	gather      bool
-	topK        int
+	// cautious reports whether the request is suspected of crashing upstreams.
+	cautious  bool
+	directory *directory
+	plan      fanout.Plan
+	gather    bool
+	topK      int
 
 	// machine decides what is sent and when. It is advanced by events.
 	machine *fanout.Fanout
@@ -59,6 +61,8 @@
 	hops          int
 	extras        int
 	verdict       string
+	// succeeded reports whether an upstream has run the request to its end.
+	succeeded bool
 	// peerRetryAfter is the longest retry delay returned by a peer that
 	// rejected the search.
 	peerRetryAfter time.Duration
@@ -78,8 +82,10 @@
 	ok      bool
 	notRun  bool
 	unsent  bool
-	cause   string
-	err     error
+	// broken reports that the upstream closed the connection without a response.
+	broken bool
+	cause  string
+	err    error
 	// waited is how long the attempt was queued at this node for the upstream.
 	waited time.Duration
 }
@@ -140,6 +146,10 @@
 // machine.
 func (r *run) attemptEnded(d attemptDone) fanout.Event {
 	delete(r.attempts, d.attempt.number)
+	ran := d.res != nil && d.res.Reply().Proof != "" && !d.notRun
+	if d.ok || ran {
+		r.recordSuccess()
+	}
 	if d.ok {
 		r.parts[fanout.Leg(d.attempt.number)] = d.res
 		return fanout.Answered{Attempt: d.attempt.number}
@@ -148,7 +158,7 @@
 	if d.res != nil && d.res.Reply().Proof != "" && d.res.Status() >= http.StatusInternalServerError && !impliesNotRun(d.res.Status()) {
 		r.failure = d.res
 	}
-	return fanout.Failed{Attempt: d.attempt.number, NotRun: d.notRun, Unsent: d.unsent}
+	return fanout.Failed{Attempt: d.attempt.number, NotRun: d.notRun, Unsent: d.unsent, Broken: d.broken, Ran: ran}
 }
 
 // apply passes an event to the machine and executes the resulting actions.
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strconv"
 	"sync/atomic"
 
 	"geraniumstep.org/geraniumstep/internal/link"
@@ -20,6 +21,11 @@
 	crash crashCheck
 }
 
+// incarnation identifies the upstream's process.
+func (u *upstream) incarnation() string {
+	return u.entry.ID() + "/" + strconv.FormatInt(u.entry.Started(), 10)
+}
+
 // matches reports whether the entry describes this incarnation at this address.
 func (u *upstream) matches(e fleet.Entry) bool {
 	old := u.entry
--- a/internal/relay/upstream_test.go
+++ b/internal/relay/upstream_test.go
@@ -49,6 +49,7 @@
 type fakeUpstream struct {
 	id       string
 	addr     string
+	server   *httptest.Server
 	runs     atomic.Int64
 	mu       sync.Mutex
 	handler  func(w http.ResponseWriter, r *http.Request)
@@ -61,7 +62,7 @@
 	s := &fakeUpstream{id: id}
 	server := httptest.NewServer(s)
 	t.Cleanup(server.Close)
-	s.addr = server.Listener.Addr().String()
+	s.server, s.addr = server, server.Listener.Addr().String()
 	return s
 }
 
--- /dev/null
+++ b/pkg/fanout/doubt_test.go
@@ -0,0 +1,144 @@
+package fanout
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// breakAll reports all attempts as broken and returns the sends that follow.
+func breakAll(f *Fanout, attempts []Send) []Send {
+	var next []Send
+	for _, s := range attempts {
+		next = append(next, sends(f.Step(Failed{Attempt: s.Attempt, Broken: true}))...)
+	}
+	return next
+}
+
+// A search that crashes upstreams breaks the connections of all its legs. Only one of
+// them may be sent again, and none once the request is blocked.
+func TestSearchThatBreaksEverywhereIsRetriedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		deps := &fakeDeps{hedgeAfter: 30 * time.Millisecond, expected: 5 * time.Millisecond, budget: 100}
+		f := New(plan(20, 18), deps)
+		first := append([]Send(nil), sends(f.Step(Start{}))...)
+		trials := breakAll(f, first)
+		if got, want := len(trials), 1; got != want {
+			t.Fatalf("sends after all connections broke = %d, want %d", got, want)
+		}
+		if got := breakAll(f, trials); len(got) != 0 {
+			t.Errorf("sends after the trial broke too = %v, want none before the upstream is checked", got)
+		}
+		deps.blocked = true
+		time.Sleep(time.Until(f.Wake()))
+		if got, ok := outcome(f.Step(Tick{})); !ok || got != OutcomeFailed {
+			t.Errorf("outcome of the blocked request = %v, %v, want %v", got, ok, OutcomeFailed)
+		}
+	})
+}
+
+// Upstreams that break connections and do not crash must not fail a search.
+func TestSearchContinuesAfterBrokenConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		deps := &fakeDeps{hedgeAfter: time.Second, expected: 5 * time.Millisecond, budget: 100}
+		f := New(plan(4, 4), deps)
+		first := append([]Send(nil), sends(f.Step(Start{}))...)
+		trial := breakAll(f, first[:3])
+		if got, want := len(trial), 1; got != want {
+			t.Fatalf("sends after three connections broke = %d, want %d", got, want)
+		}
+		released := append([]Send(nil), sends(f.Step(Answered{Attempt: first[3].Attempt}))...)
+		if got, want := len(released), 2; got != want {
+			t.Errorf("sends after an answer = %d, want the %d that were held", got, want)
+		}
+		for _, s := range append(released, trial...) {
+			if got, ok := outcome(f.Step(Answered{Attempt: s.Attempt})); ok && got != OutcomeComplete {
+				t.Errorf("outcome = %v, want %v", got, OutcomeComplete)
+			}
+		}
+		if got, want := f.Answered(), 4; got != want {
+			t.Errorf("Answered() = %d, want %d", got, want)
+		}
+	})
+}
+
+// A trial whose connection breaks is followed by another one after the pause, unless
+// the request is blocked by then.
+func TestTrialsFollowEachOtherAfterPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		deps := &fakeDeps{hedgeAfter: time.Second, budget: 100}
+		f := New(plan(4, 1), deps)
+		pending := breakAll(f, append([]Send(nil), sends(f.Step(Start{}))...))
+		for trial := range 3 {
+			if got, want := len(pending), 1; got != want {
+				t.Fatalf("trial %d: sends = %d, want %d", trial, got, want)
+			}
+			breakAll(f, pending)
+			start := time.Now()
+			for pending = nil; len(pending) == 0 && time.Since(start) < checkTime; {
+				time.Sleep(time.Until(f.Wake()))
+				pending = append([]Send(nil), sends(f.Step(Tick{}))...)
+			}
+			if got, want := time.Since(start), checkTime; got != want {
+				t.Errorf("trial %d: next trial after %v, want %v", trial, got, want)
+			}
+		}
+	})
+}
+
+// A search that is suspected of crashing upstreams goes to one of them first.
+func TestSuspectGoesToOneUpstreamFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		deps := &fakeDeps{hedgeAfter: 30 * time.Millisecond, expected: 5 * time.Millisecond, budget: 100}
+		p := plan(20, 18)
+		p.Cautious = true
+		f := New(p, deps)
+		first := append([]Send(nil), sends(f.Step(Start{}))...)
+		if got, want := len(first), 1; got != want {
+			t.Fatalf("sends at the start = %d, want %d", got, want)
+		}
+		time.Sleep(50 * time.Millisecond)
+		if got := sends(f.Step(Tick{})); len(got) != 0 {
+			t.Errorf("sends while the first is in flight = %v, want none", got)
+		}
+		if got, want := len(sends(f.Step(Answered{Attempt: first[0].Attempt}))), 19; got != want {
+			t.Errorf("sends after the first answer = %d, want %d", got, want)
+		}
+	})
+}
+
+// An upstream that runs a suspect to its end without success clears it too.
+func TestFailedResponseEndsDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := plan(5, 3)
+		p.Cautious = true
+		f := New(p, &fakeDeps{hedgeAfter: time.Second, budget: 100})
+		first := sends(f.Step(Start{}))[0].Attempt
+		if got, want := len(sends(f.Step(Failed{Attempt: first, Ran: true}))), 5; got != want {
+			t.Errorf("sends after a failed response = %d, want the retry and %d other legs", got, want-1)
+		}
+		if f.InDoubt() {
+			t.Error("InDoubt() = true, want false")
+		}
+	})
+}
+
+// A request that is found to crash upstreams while an attempt is slow must not be
+// hedged, and its slow attempt may still answer.
+func TestBlockedRequestIsNotHedged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		deps := &fakeDeps{hedgeAfter: 30 * time.Millisecond, expected: 5 * time.Millisecond, budget: 100}
+		f := New(plan(1, 1), deps)
+		first := sends(f.Step(Start{}))[0].Attempt
+		deps.blocked = true
+		for end := time.Now().Add(150 * time.Millisecond); time.Now().Before(end); {
+			time.Sleep(time.Until(f.Wake()))
+			if got := sends(f.Step(Tick{})); len(got) != 0 {
+				t.Fatalf("sends of a blocked request = %v, want none", got)
+			}
+		}
+		if got, ok := outcome(f.Step(Answered{Attempt: first})); !ok || got != OutcomeComplete {
+			t.Errorf("outcome = %v, %v, want %v", got, ok, OutcomeComplete)
+		}
+	})
+}
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -24,6 +24,7 @@
 	openLegs int
 	done     bool
 	actions  []Action
+	doubt    doubt
 }
 
 // leg is the state of the request to one service.
@@ -41,6 +42,8 @@
 	retryAt     time.Time
 	// sent reports whether an attempt may have reached an upstream.
 	sent bool
+	// held reports whether the leg waits until it may be sent.
+	held bool
 }
 
 type legState uint8
@@ -59,7 +62,10 @@
 
 // New returns the state of a request, which Step(Start{}) begins.
 func New(plan Plan, deps Deps) *Fanout {
-	return &Fanout{plan: plan, deps: deps, legs: make([]leg, len(plan.Services)), openLegs: len(plan.Services)}
+	return &Fanout{
+		plan: plan, deps: deps, legs: make([]leg, len(plan.Services)), openLegs: len(plan.Services),
+		doubt: doubt{active: plan.Cautious},
+	}
 }
 
 // Leg returns the leg that an attempt belongs to.
@@ -71,6 +77,10 @@
 // Reached returns the number of upstreams that the leg may have reached.
 func (f *Fanout) Reached(leg int) int { return f.legs[leg].reached }
 
+// InDoubt reports whether upstreams closed connections without a response and none has
+// run the request to its end.
+func (f *Fanout) InDoubt() bool { return f.doubt.active }
+
 // Step applies one event and returns the actions that the caller must perform.
 // The slice is valid until the next call.
 func (f *Fanout) Step(ev Event) []Action {
@@ -79,26 +89,34 @@
 		return f.actions
 	}
 	now := time.Now()
+	f.doubt.expirePause(now)
 	switch ev := ev.(type) {
 	case Start:
 		for i := range f.legs {
 			f.startLeg(i, now)
 		}
 	case Answered:
+		f.doubt.resolve()
 		f.handleAnswered(ev.Attempt)
 	case Failed:
+		f.doubt.failed(ev, f.answered, now)
 		f.handleFailed(ev, now)
 	case Tick:
 		for i := range f.legs {
 			f.tickLeg(i, now)
 		}
 	}
+	f.releaseHeld(now)
 	f.finishIfDone(now)
 	return f.actions
 }
 
 // startLeg sends the first attempt of a leg.
 func (f *Fanout) startLeg(i int, now time.Time) {
+	if !f.maySend() {
+		f.legs[i].held = true
+		return
+	}
 	u, ok := f.deps.Pick(f.plan.Services[i], nil)
 	if !ok {
 		f.legs[i].retryAt = now.Add(retryInterval)
@@ -121,6 +139,8 @@
 	l.tried = append(l.tried, u)
 	l.retryAt = time.Time{}
 	l.hedgeAt = time.Time{}
+	l.held = false
+	f.doubt.sent(n)
 	if f.plan.Idempotent && f.canSendMore(l) {
 		f.scheduleHedge(i, now.Add(f.deps.HedgeAfter(u)), now)
 	}
@@ -177,6 +197,10 @@
 		f.failLeg(i)
 		return
 	}
+	if !f.maySend() {
+		l.held = true
+		return
+	}
 	u, ok := f.deps.Pick(f.plan.Services[i], l.tried)
 	if !ok {
 		f.waitOrFail(i, now)
@@ -203,6 +227,7 @@
 func (f *Fanout) failLeg(i int) {
 	if f.legs[i].state == legOpen {
 		f.legs[i].state = legFailed
+		f.legs[i].held = false
 		f.openLegs--
 	}
 }
@@ -241,7 +266,7 @@
 	l := &f.legs[i]
 	service := f.plan.Services[i]
 	u, ok := f.deps.Pick(service, l.tried)
-	if !ok || !f.spendHedge(service, u, l.hedgeReason) {
+	if !ok || !f.maySend() || !f.spendHedge(service, u, l.hedgeReason) {
 		f.scheduleHedge(i, now.Add(retryInterval), now)
 		return
 	}
@@ -288,6 +313,7 @@
 	if f.answered >= f.plan.MinAnswered || f.plan.SoftDeadline.After(time.Now()) {
 		wake = earlier(wake, f.plan.SoftDeadline)
 	}
+	wake = earlier(wake, f.doubt.pausedUntil)
 	for i := range f.legs {
 		if f.legs[i].state != legOpen {
 			continue
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -14,6 +14,7 @@
 	budget       int
 	none         bool
 	unreliable   bool
+	blocked      bool
 	// speculative counts the calls of SpendSpeculative.
 	speculative int
 }
@@ -27,6 +28,8 @@
 
 func (d *fakeDeps) MaxUpstreams(Upstream) int { return max(d.maxUpstreams, 1) }
 
+func (d *fakeDeps) Blocked() bool { return d.blocked }
+
 func (d *fakeDeps) HedgeAfter(Upstream) time.Duration { return d.hedgeAfter }
 
 func (d *fakeDeps) ExpectedLatency(_ string, tried []Upstream) (time.Duration, bool) {
--- a/pkg/fanout/types.go
+++ b/pkg/fanout/types.go
@@ -29,6 +29,9 @@
 	// request falls back from a gatherer that failed. First sends then
 	// count against the budget too.
 	Repeat bool
+	// Cautious reports that the request is suspected of crashing upstreams. It
+	// then goes to a single upstream until that has run it to its end.
+	Cautious bool
 	// SoftDeadline is when an answer must be sent to meet the latency target.
 	// From then on the request ends as soon as MinAnswered legs have answered.
 	SoftDeadline time.Time
@@ -60,6 +63,9 @@
 	// budget allowed it.
 	SpendSpeculative(service string) bool
 	SpendNeeded(service string) bool
+	// Blocked reports whether the request is known to crash upstreams, so that
+	// it must not be sent to another one.
+	Blocked() bool
 }
 
 // Event is an input of Step: Start, Answered, Failed or Tick.
@@ -76,6 +82,10 @@
 	Attempt int
 	// NotRun reports proof that the upstream did not run the attempt.
 	NotRun bool
+	// Broken reports that the upstream closed the connection without a response,
+	// and Ran that it ran the attempt to its end, although without success.
+	Broken bool
+	Ran    bool
 	// Unsent reports that nothing reached an upstream, so that another send
 	// does not count as an extra one.
 	Unsent bool
