poison: neither canceled requests nor delayed reports hide the cause

Cause: requests canceled shortly before a crash counted as its suspects too, so that the real one was rarely alone. And a report that waits in the queue of notices makes the first crash look later than the next send, so that two trials overlapped.

Change: canceled requests are suspects, but do not keep another from being alone. Fronts give no time of sending: they send unproven requests to one upstream at a time, so each of their crashes is a trial. A node takes the times of its own crashes without a detour.

--- a/internal/front/dispatcher.go
+++ b/internal/front/dispatcher.go
@@ -107,7 +107,7 @@
 func (d *dispatcher) begin(id uint64, f poison.Fingerprint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.running[id] = poison.Run{Fingerprint: f, Sent: time.Now()}
+	d.running[id] = poison.Run{Fingerprint: f}
 }
 
 // end removes a request from the running ones. If its call was cancelled, the
@@ -116,7 +116,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if canceled {
-		d.canceled[f] = canceledRun{run: d.running[id], at: time.Now()}
+		run := d.running[id]
+		run.Canceled = true
+		d.canceled[f] = canceledRun{run: run, at: time.Now()}
 	}
 	delete(d.running, id)
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -132,7 +132,9 @@
 	if err != nil {
 		if a.isCanceled() {
 			stats.Abandoned(took)
-			a.upstream.crash.addCanceled(r.newSuspect(took))
+			s := r.newSuspect(took)
+			s.run.Canceled = true
+			a.upstream.crash.addCanceled(s)
 			return attemptDone{attempt: a, cause: "given_up"}, gate.OutcomeCanceled
 		}
 		stats.Failed()
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -53,10 +53,15 @@
 	return Fingerprint(d.Sum64())
 }
 
-// Run is a request that was in flight on an upstream, and when it was sent there.
+// Run is a request that was in flight on an upstream.
 type Run struct {
 	Fingerprint Fingerprint
-	Sent        time.Time
+	// Sent is when it was sent there. If it is zero, the crash is a trial of its
+	// own, as for senders that send unproven requests to one upstream at a time.
+	Sent time.Time
+	// Canceled reports that the call was canceled shortly before the crash, so that
+	// the upstream may or may not have run it.
+	Canceled bool
 }
 
 const (
@@ -150,7 +155,7 @@
 	}
 	return r.count(func(crash string) bool {
 		s, known := t.crashes.Peek(crash)
-		return known && !s.several
+		return known && s.first == f && !s.several
 	})
 }
 
@@ -165,15 +170,20 @@
 // returns the reports that other nodes should merge. Proven fingerprints are excluded, unless they ran
 // alone. The crash is identified by the upstream and the start time of its process.
 func (t *Tracker) RecordCrash(crash string, at time.Time, inFlight []Run) []Report {
-	age := max(time.Since(at), 0)
+	now := time.Now()
+	age := max(now.Sub(at), 0)
 	var reports []Report
 	for _, run := range inFlight {
 		if len(inFlight) > 1 && t.proven.Contains(run.Fingerprint) {
 			continue
 		}
-		reports = append(reports, Report{Kind: Crashed, Fingerprint: run.Fingerprint, Crash: crash, Age: age, Ran: max(at.Sub(run.Sent), 0)})
+		r := Report{Kind: Crashed, Fingerprint: run.Fingerprint, Crash: crash, Age: age, Canceled: run.Canceled}
+		if !run.Sent.IsZero() {
+			r.Ran = max(at.Sub(run.Sent), 0)
+		}
+		reports = append(reports, r)
 	}
-	t.Merge(reports)
+	t.mergeAt(reports, now)
 	return reports
 }
 
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -292,3 +292,23 @@
 		t.Error("Claim() after Release() = false, want true")
 	}
 }
+
+// Requests that were canceled before a crash must not hide which request caused it.
+func TestCanceledRequestsDoNotHideTheCause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const crashing, canceled = 1, 2
+		tr := poison.New()
+		for i := range 2 {
+			inFlight := longRuns(5*time.Millisecond, crashing, canceled)
+			inFlight[1].Canceled = true
+			tr.RecordCrash(fmt.Sprintf("u%d/1", i), time.Now(), inFlight)
+			time.Sleep(time.Second)
+		}
+		if got := tr.Verdict(crashing); got != poison.Quarantined {
+			t.Errorf("Verdict() = %v, want %v", got, poison.Quarantined)
+		}
+		if got := tr.Verdict(canceled); got != poison.Suspect {
+			t.Errorf("Verdict() of the canceled request = %v, want %v", got, poison.Suspect)
+		}
+	})
+}
--- a/pkg/poison/record.go
+++ b/pkg/poison/record.go
@@ -39,9 +39,11 @@
 	crash string
 	sent  time.Time
 	ended time.Time
+	// canceled reports that the request may not have run.
+	canceled bool
 }
 
-// suspects holds who may have caused one crash.
+// suspects holds who may have caused one crash, without canceled requests.
 type suspects struct {
 	first Fingerprint
 	// several reports whether there are more suspects than first.
--- a/pkg/poison/report.go
+++ b/pkg/poison/report.go
@@ -25,14 +25,18 @@
 	// request was sent.
 	Age time.Duration `msgpack:"a"`
 	Ran time.Duration `msgpack:"r"`
+	// Canceled reports that the request was canceled before the crash.
+	Canceled bool `msgpack:"x,omitempty"`
 }
 
 // Merge adds reports and returns those that were not known. Reports from other nodes
 // must be merged when they are received, because they hold ages.
-func (t *Tracker) Merge(reports []Report) []Report {
+func (t *Tracker) Merge(reports []Report) []Report { return t.mergeAt(reports, time.Now()) }
+
+// mergeAt adds reports whose ages count from now.
+func (t *Tracker) mergeAt(reports []Report, now time.Time) []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
 	var added []Report
 	for _, r := range reports {
 		if t.add(r, now) {
@@ -52,7 +56,7 @@
 	next, added := old, false
 	switch r.Kind {
 	case Crashed:
-		next, added = old.with(trial{crash: r.Crash, sent: at.Add(-max(r.Ran, 0)), ended: at})
+		next, added = old.with(trial{crash: r.Crash, sent: at.Add(-max(r.Ran, 0)), ended: at, canceled: r.Canceled})
 	case Cleared:
 		next, added = old.cleared(at)
 	case Rejected:
@@ -61,7 +65,7 @@
 	if !added || next.expired(now, t.retention) {
 		return false
 	}
-	if r.Kind == Crashed {
+	if r.Kind == Crashed && !r.Canceled {
 		t.addSuspect(r.Crash, r.Fingerprint)
 	}
 	t.records.Add(r.Fingerprint, next)
@@ -100,7 +104,7 @@
 		list = append(list, Report{Kind: Cleared, Fingerprint: f, Age: now.Sub(r.clearedAt)})
 	}
 	for _, tr := range r.trials {
-		list = append(list, Report{Kind: Crashed, Fingerprint: f, Crash: tr.crash, Age: now.Sub(tr.ended), Ran: tr.ended.Sub(tr.sent)})
+		list = append(list, Report{Kind: Crashed, Fingerprint: f, Crash: tr.crash, Age: now.Sub(tr.ended), Ran: tr.ended.Sub(tr.sent), Canceled: tr.canceled})
 	}
 	if !r.rejectedAt.IsZero() {
 		list = append(list, Report{Kind: Rejected, Fingerprint: f, Age: now.Sub(r.rejectedAt)})
