soak: requests that crash servers, and servers that end together

Promises: at most 3 sends later than 5 s after the third crash, at nodes without faults; no other request is rejected as crashing, and a quarter of the callers' requests are equal. A server's number is counted under the lock; two faults could start servers at once.

Planted violations are found (TestChecksFindPlantedViolations).

--- a/soak/check.go
+++ b/soak/check.go
@@ -20,6 +20,9 @@
 	// settleTime is how long a node must have been free of faults for the
 	// bounds to apply. The platform specifies 5 s.
 	settleTime = 5 * time.Second
+	// crashReason is part of the reason with which nodes reject requests that crash
+	// servers.
+	crashReason = "crashed upstreams"
 	// recoveryBound is the time after the last fault within which service must
 	// recover.
 	recoveryBound = 12 * time.Second
@@ -118,6 +121,7 @@
 	case r.Err != nil:
 		c.checkCut(a)
 	case r.Status != 200:
+		c.checkRejected(a)
 	case a.host == hostSearch:
 		c.successes++
 		c.checkMerged(a)
@@ -127,6 +131,14 @@
 	}
 }
 
+// checkRejected checks that no request of these callers is rejected as one that crashes
+// servers. Some of them are equal, and may be in flight when servers end.
+func (c *checker) checkRejected(a attempt) {
+	if strings.Contains(a.reply.Body, crashReason) {
+		c.violate("denied: request %s at %s is rejected as one that crashes servers", a.reply.Request, a.node)
+	}
+}
+
 // checkCut checks a request that failed without a response. A planned stop of a node
 // without other faults must not cause this. Requests that took 70 % of callerTimeout
 // or more are left out, since their callers may have given up.
@@ -209,10 +221,12 @@
 
 // finish evaluates the guarantees that depend on all requests that servers ran.
 // notRun contains the attempts whose reply proves that they did not run, and
-// submissions those that must run at most once.
-func (c *checker) finish(notRun, submissions map[string]attempt) {
+// submissions those that must run at most once. receivers maps the attempts of requests
+// that crash servers to the nodes that received them.
+func (c *checker) finish(notRun, submissions map[string]attempt, receivers map[string]string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.checkCrashing(receivers)
 	runs := make(map[string][]fakes.Run)
 	for _, r := range c.runLog.Runs("") {
 		runs[r.Request] = append(runs[r.Request], r)
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -44,6 +44,7 @@
 		{"part counted twice", hostSearch, ok(fakes.Reply{Proofs: []string{"a.soak-1", "a.soak-1"}, Body: server("a").Record() + server("a").Record()}), "mixed"},
 		{"records in wrong order", hostSearch, ok(fakes.Reply{Proofs: []string{"a.soak-1", "b.soak-1"}, Body: server("a").Record() + server("b").Record()}), "mixed"},
 		{"false count of missing parts", hostSearch, ok(fakes.Reply{Proofs: []string{"a.soak-1"}, Body: server("a").Record()}), "configuration"},
+		{"ordinary request rejected", hostSearch, fakes.Reply{Request: "soak-1", Status: 503, Body: "equal requests have crashed upstreams"}, "denied"},
 		{"planned stop breaks a request", hostSubmission, fakes.Reply{Request: "soak-1", Err: errors.New("EOF")}, "cut off"},
 	}
 	for _, tt := range tests {
@@ -72,6 +73,17 @@
 			checker.runLog.Add(fakes.Run{Request: id, Server: server, Service: "new", At: now})
 		}
 	}
+	// crash plants a request that crashes learnCrashes servers, and more some time
+	// later.
+	crash := func(checker *checker, later time.Duration, more int) {
+		for i := range learnCrashes + more {
+			at := now
+			if i >= learnCrashes {
+				at = now.Add(later)
+			}
+			checker.runLog.Add(fakes.Run{Request: "soak-2", Server: "d", Service: "new", Path: "/p/" + fakes.CrashWord, At: at})
+		}
+	}
 	attempts := map[string]attempt{"soak-1": {reply: fakes.Reply{Status: 503}}}
 	tests := []struct {
 		name        string
@@ -88,11 +100,14 @@
 			checker.drained["d"] = now.Add(-drainBound - time.Second)
 			run(checker, "soak-1", "d", 1)
 		}, nil, nil, "drain"},
+		{"crashing request still sent", func(checker *checker) { crash(checker, learnBound+time.Second, maxLateSends+1) }, nil, nil, "budget"},
+		{"crashing request sent as often as allowed", func(checker *checker) { crash(checker, learnBound+time.Second, maxLateSends) }, nil, nil, ""},
+		{"crashing request sent soon after", func(checker *checker) { crash(checker, learnBound-time.Second, 9) }, nil, nil, ""},
 	}
 	for _, tt := range tests {
 		checker := settledChecker(now)
 		tt.plant(checker)
-		checker.finish(tt.notRun, tt.submissions)
+		checker.finish(tt.notRun, tt.submissions, nil)
 		expectViolation(t, tt.name, checker, tt.want)
 	}
 }
--- a/soak/env.go
+++ b/soak/env.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,12 +61,16 @@
 	requests    atomic.Int64
 	notRun      map[string]attempt
 	submissions map[string]attempt
+	// receivers maps the attempts of requests that crash servers to the nodes that
+	// received them.
+	receivers map[string]string
+	closed    bool
 }
 
 func newTestEnv(seed uint64, program, dir string, nodes int) (*testEnv, error) {
 	e := &testEnv{
 		random: rand.New(rand.NewPCG(seed, 1)), program: program, dir: dir, checker: newChecker(), store: fakes.NewStore(),
-		servers: make(map[string]*server), notRun: make(map[string]attempt), submissions: make(map[string]attempt),
+		servers: make(map[string]*server), notRun: make(map[string]attempt), submissions: make(map[string]attempt), receivers: make(map[string]string),
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -89,9 +94,13 @@
 // startServers starts n servers of a service, alternately in the two zones.
 func (e *testEnv) startServers(service string, n int) error {
 	for i := range n {
+		e.mu.Lock()
 		e.serverCount++
-		s := &server{Server: &fakes.Server{ID: fmt.Sprintf("i%d", e.serverCount), Service: service, Slots: 4, Work: serviceTime, RunLog: e.checker.runLog}}
+		id := fmt.Sprintf("i%d", e.serverCount)
+		e.mu.Unlock()
+		s := &server{Server: &fakes.Server{ID: id, Service: service, Slots: 4, Work: serviceTime, RunLog: e.checker.runLog}}
 		s.zone = zones[i%len(zones)]
+		s.Crash = func() { e.crashUnder(s) }
 		if err := e.addServer(s); err != nil {
 			return err
 		}
@@ -203,6 +212,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.closed = true
 	for _, s := range e.servers {
 		s.proxy.close()
 		_ = s.http.Close()
@@ -225,24 +235,35 @@
 		if random.IntN(3) == 0 {
 			host, method = hostSubmission, http.MethodPost
 		}
-		e.sendRequest(client, n, method, host)
+		path := fmt.Sprintf("/p/%d", random.Uint64())
+		if random.IntN(popularShare) == 0 {
+			path = "/p/popular"
+		}
+		e.checker.check(e.sendOnce(client, n, method, host, path))
 	}
 }
 
-func (e *testEnv) sendRequest(client *http.Client, n *node, method, host string) {
+// popularShare is the number of requests of which one is equal to others.
+const popularShare = 4
+
+// sendOnce sends one attempt to the node and records it for the checks of finish.
+func (e *testEnv) sendOnce(client *http.Client, n *node, method, host, path string) attempt {
 	id := fmt.Sprintf("%s%d", requestPrefix, e.requests.Add(1))
 	a := attempt{host: host, node: n.name, sentAt: time.Now()}
-	a.reply = fakes.Send(context.Background(), client, method, n.callerAddr, host, "/p/"+id, id, callerTimeout)
+	a.reply = fakes.Send(context.Background(), client, method, n.callerAddr, host, path, id, callerTimeout)
 	a.doneAt = time.Now()
-	e.checker.check(a)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if strings.Contains(path, fakes.CrashWord) {
+		e.receivers[id] = n.name
+	}
 	if a.reply.Err == nil && a.reply.NotRun() {
 		e.notRun[id] = a
 	}
 	if host == hostSubmission {
 		e.submissions[id] = a
 	}
+	return a
 }
 
 // writeSettings writes the settings file of a node and returns its path.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -36,6 +36,7 @@
 	{"server-link", impairServerLink}, {"server", failServer}, {"crash", crashServer}, {"drain", drainServer},
 	{"config", changeConfig}, {"reshard", reshard}, {"storm", stormConfig},
 	{"link", impairLinks}, {"calls", impairCalls},
+	{"crash-request", sendCrashingRequest}, {"crash-herd", crashHerd},
 }
 
 func (e *testEnv) randomNode() *node { return e.nodes[e.random.IntN(len(e.nodes))] }
@@ -174,10 +175,7 @@
 	s := e.randomServer()
 	e.stopServer(s)
 	return activeFault{detail: s.ID, duration: time.Second, end: func() {
-		e.store.Delete("servers", s.ID)
-		if err := e.startServers(s.Service, 1); err != nil {
-			panic(err) // this machine has no free port
-		}
+		e.replaceServer(s)
 	}}
 }
 
