internal/cmds: each address of a script has its own IP address

What was seen: one of five script runs beside a soak failed with 'listen.inner: address already in use'.

Cause: the script chooses a free port of 127.0.0.1 and closes it; a connection of another process took it as its own port before the node listened on it.

Change: each address has a loopback IP address of its own, as in platform/fakes.

--- a/internal/cmds/script_test.go
+++ b/internal/cmds/script_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -47,12 +48,18 @@
 	})
 }
 
+// addresses counts the addresses that the scripts use. Each has an IP address of its
+// own, so that no other connection can take the port before it is opened again.
+var addresses atomic.Uint32
+
 // setAddresses sets variables to free loopback addresses for each script: P is for
 // the platform, U1 to U4 are for upstreams, and A, B and C for nodes. The suffix I
 // stands for a node's inner address and G for its gossip address.
 func setAddresses(env *testscript.Env) error {
 	for _, name := range []string{"P", "U1", "U2", "U3", "U4", "A", "AI", "AG", "B", "BI", "BG", "C", "CI", "CG"} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		n := addresses.Add(1)
+		ip := net.IPv4(127, byte(2+os.Getpid()%250), byte(n>>8), byte(n))
+		l, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
 		if err != nil {
 			return err
 		}
