internal/node: tell the caller that a submission is quarantined

Cause: a quarantined submission ended as any other that did not run; only searches said why. The Retry-After of a quarantined search was always 10 minutes, and the successes of submissions were not reported to the other nodes.

Change: both paths reject with the reason and the rest of the quarantine, and share one function each for rejecting and for recording a success. A repeated key still gets the outcome of its first send.

--- a/internal/node/deps.go
+++ b/internal/node/deps.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"geraniumstep.org/geraniumstep/internal/peer"
 	"geraniumstep.org/geraniumstep/pkg/layout"
 	"geraniumstep.org/geraniumstep/pkg/poison"
 	"geraniumstep.org/geraniumstep/pkg/prio"
@@ -84,13 +83,8 @@
 	return v
 }
 
-// Succeeded records in the node's crash tracker that a shard request with the
-// fingerprint completed, and notifies the other nodes if that clears a suspect.
-func (run *searchRun) Succeeded(f poison.Fingerprint) {
-	if reports := run.node.tracker.RecordSuccess(f); len(reports) > 0 {
-		run.node.broadcast(peer.Notices{Reports: reports})
-	}
-}
+// Succeeded records that a shard request with the fingerprint completed.
+func (run *searchRun) Succeeded(f poison.Fingerprint) { run.node.recordSuccess(f) }
 
 type latencyKey struct {
 	archive  string
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -7,6 +7,7 @@
 	"sort"
 	"time"
 
+	"geraniumstep.org/geraniumstep/internal/peer"
 	"geraniumstep.org/geraniumstep/internal/wire"
 	"geraniumstep.org/geraniumstep/pkg/config"
 	"geraniumstep.org/geraniumstep/pkg/gate"
@@ -148,13 +149,31 @@
 	return problem(http.StatusGatewayTimeout, wire.KindUnknown, "outcome not known", detail)
 }
 
-func quarantined() *wire.Problem {
+// rejectQuarantined returns the problem for a request if equal ones have crashed
+// upstreams, and nil otherwise.
+func (n *Node) rejectQuarantined(f poison.Fingerprint) *wire.Problem {
+	if n.tracker.Verdict(f) != poison.Quarantined {
+		return nil
+	}
+	n.tracker.RecordRejection(f)
+	return n.quarantined(f)
+}
+
+func (n *Node) quarantined(f poison.Fingerprint) *wire.Problem {
 	p := problem(http.StatusUnprocessableEntity, wire.KindQuarantined, "request quarantined",
 		"equal requests have crashed upstreams; change the parameters, or ask an operator to look at the upstreams' logs")
-	p.RetryAfter = quarantineRetry
+	p.RetryAfter = n.tracker.Remaining(f)
 	return p
 }
 
+// recordSuccess records that an upstream has completed a request with the fingerprint,
+// and notifies the other nodes if that clears a suspect.
+func (n *Node) recordSuccess(f poison.Fingerprint) {
+	if reports := n.tracker.RecordSuccess(f); len(reports) > 0 {
+		n.broadcast(peer.Notices{Reports: reports})
+	}
+}
+
 // admissionProblem returns the problem for a search rejected by admission control.
 func admissionProblem(r gate.Refuse) *wire.Problem {
 	switch r.Reason {
@@ -165,7 +184,4 @@
 	}
 }
 
-const (
-	minRetryAfter   = time.Second
-	quarantineRetry = 10 * time.Minute
-)
+const minRetryAfter = time.Second
--- a/internal/node/search.go
+++ b/internal/node/search.go
@@ -47,8 +47,8 @@
 		return nil, notRun("node holds as many requests as its memory allows; try again later", 0)
 	}
 	defer n.admission.freeBytes(req.Bytes)
-	if n.tracker.Verdict(r.fingerprint) == poison.Quarantined {
-		return nil, quarantined()
+	if p := n.rejectQuarantined(r.fingerprint); p != nil {
+		return nil, p
 	}
 	return n.runAdmitted(ctx, r)
 }
@@ -290,7 +290,7 @@
 	case search.KindAnswered:
 		return run.buildAnswer(), nil
 	case search.KindQuarantined:
-		return nil, quarantined()
+		return nil, run.node.quarantined(run.resolved.fingerprint)
 	case search.KindNotRun:
 		if !res.Ran {
 			return nil, notRun("no upstream could take the request in time; try again later", res.RetryAfter)
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -48,6 +48,11 @@
 	}
 	reply := n.submitToOwner(ctx, r, key, req)
 	n.metrics.submitted.WithLabelValues(r.workspace.Priority().String(), reply.Outcome.Status.String()).Inc()
+	if reply.Outcome.Status == dedup.NotRun {
+		if p := n.rejectQuarantined(r.fingerprint); p != nil {
+			return nil, p
+		}
+	}
 	return submitAnswer(reply)
 }
 
@@ -232,7 +237,7 @@
 }
 
 func (j *job) outcomeRan(request string, c *layout.Catalogue, r search.Reply) dedup.Outcome {
-	j.node.tracker.RecordSuccess(j.resolved.fingerprint)
+	j.node.recordSuccess(j.resolved.fingerprint)
 	coverage := []search.Coverage{{Archive: r.Target.Archive, Version: r.Target.Version, Shards: 1}}
 	data, err := json.Marshal(wire.Answer{Request: request, Snapshot: c.Revision(), Hits: r.Hits, Ratio: 1, Coverage: coverage})
 	if err != nil {
