link: limit the head of a response

What callers saw: nothing yet; the users announce servers that send bytes without end. One connection took 0.9 to 8 GB of allocations within 2 s, on VMs of 284 MB.

Cause: http.ReadResponse reads status lines, header lines and any number of them into memory without a limit, and interim responses were skipped as long as they came.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -43,10 +43,7 @@
 	// timeout that it sends.
 	defaultIdleTime = 4 * time.Second
 	idleMargin      = 500 * time.Millisecond
-	// maxResponseBytes limits the body of an upstream's response, which is held
-	// in memory.
-	maxResponseBytes = 8 << 20
-	readBufferBytes  = 4 << 10
+	readBufferBytes = 4 << 10
 	// maxSequentialBytes is the largest message that is written completely
 	// before the response is read. The socket accepts it without blocking;
 	// during a longer write the upstream may already respond.
@@ -61,13 +58,22 @@
 // Conn is a connection to an upstream. It carries one request at a time.
 type Conn struct {
 	net.Conn
-	reader *bufio.Reader
+	limiter *headLimiter
+	reader  *bufio.Reader
 	// reusableUntil is the time until which the idle connection may be reused.
 	// reusable reports whether the last exchange allows that.
 	reusableUntil time.Time
 	reusable      bool
 }
 
+func newConn(raw net.Conn) *Conn {
+	l := &headLimiter{reader: raw}
+	return &Conn{
+		Conn: raw, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes),
+		reusable: true, reusableUntil: time.Now().Add(defaultIdleTime),
+	}
+}
+
 // Dial opens a connection that fails if the peer stops responding at the TCP level.
 func Dial(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{
@@ -186,6 +192,8 @@
 
 // readHead reads the head of the final response and skips interim (1xx) responses.
 func (c *Conn) readHead(method string) (*http.Response, error) {
+	c.limiter.beginHead()
+	defer c.limiter.endHead()
 	for {
 		r, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
@@ -45,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: raw, reusable: true, reusableUntil: time.Now().Add(defaultIdleTime), reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	return newConn(raw), nil
 }
 
 func (p *Pool) popIdle() *Conn {
