relay: bound the memory of all messages together

What callers saw: nothing yet. Each response body stopped at 8 MB and each caller's body at its limit, but nothing bounded all of them together: 36 endless bodies fill a VM of 284 MB.

Change: internal/memory: each request has an account, from which its body and the responses of its attempts are reserved before they are read, out of a quarter of memory_mb. A caller's body that does not fit is rejected as not run; a response that does not fit ends its attempt and says nothing about the upstream. An attempt that outlives its request keeps the account.

Evidence: TestEndlessBodiesAreBoundedTogether, TestCallersBodiesAreBoundedTogether, TestEndlessMessagesShareThePool; all memory is returned at the end.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,6 +44,10 @@
 	// callers use, so that a new request never races with a close.
 	idleTimeout    = 5 * time.Minute
 	maxHeaderBytes = 64 << 10
+	// messageMemoryRatio is the fraction of the configured memory that bodies of
+	// callers and responses of upstreams may take. Garbage, connections and the
+	// state of the node need the rest.
+	messageMemoryRatio = 0.25
 	// stopReserve is the part of the grace period that is left for the process
 	// to exit.
 	stopReserve = 400 * time.Millisecond
@@ -88,6 +92,7 @@
 		relay.WithLog(d.log),
 		relay.WithLocality(settings.FailureDomain, settings.Regions),
 		relay.WithBudget(retry.WithRatio(b.Ratio), retry.WithAllowance(b.Allowance), retry.WithWindow(b.Window)),
+		relay.WithMemory(int64(messageMemoryRatio*float64(settings.MemoryMB)*(1<<20))),
 		relay.WithCrashes(d.crashes, d.shareCrashes),
 		relay.WithRegistry(d.registry),
 	)
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -14,7 +14,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -50,10 +49,7 @@
 	maxSequentialBytes = 16 << 10
 )
 
-var (
-	errWrongRequest = errors.New("response belongs to another request")
-	errTooLarge     = errors.New("response body exceeds the size limit")
-)
+var errWrongRequest = errors.New("response belongs to another request")
 
 // Conn is a connection to an upstream. It carries one request at a time.
 type Conn struct {
@@ -148,13 +144,10 @@
 	if reply.RequestID != "" && reply.RequestID != req.ID {
 		return nil, true, errWrongRequest
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxResponseBytes+1))
+	body, err := req.Memory.ReadAll(r.Body, maxResponseBytes)
 	if err != nil {
 		return nil, true, fmt.Errorf("read response body: %w", err)
 	}
-	if len(body) > maxResponseBytes {
-		return nil, true, errTooLarge
-	}
 	c.reusable = !r.Close && c.reader.Buffered() == 0 && sent == len(message)
 	c.reusableUntil = time.Now().Add(idleTime(r.Header))
 	return &Response{status: r.StatusCode, header: r.Header, body: body, reply: reply}, true, nil
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -6,6 +6,8 @@
 import (
 	"net/http"
 	"time"
+
+	"geraniumstep.org/geraniumstep/internal/memory"
 )
 
 // Request is a request as received from the caller.
@@ -23,6 +25,8 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Memory holds the reservations for the messages of the request. It may be nil.
+	Memory *memory.Account
 	// Arrived is the time at which the request had been read completely.
 	Arrived time.Time
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"geraniumstep.org/geraniumstep/internal/link"
+	"geraniumstep.org/geraniumstep/internal/memory"
 	"geraniumstep.org/geraniumstep/internal/proto"
 	"geraniumstep.org/geraniumstep/pkg/fanout"
 	"geraniumstep.org/geraniumstep/pkg/gate"
@@ -129,6 +130,11 @@
 // the attempt.
 func (r *run) classifyReply(a *attempt, res *link.Response, err error, took time.Duration) (attemptDone, gate.Outcome) {
 	stats := a.upstream.stats
+	if errors.Is(err, memory.ErrExhausted) {
+		// This node lacks memory; that says nothing about the upstream.
+		r.engine.metrics.exhausted.Inc()
+		return attemptDone{attempt: a, cause: "memory", err: err}, gate.OutcomeCanceled
+	}
 	if err != nil {
 		if a.isCanceled() {
 			stats.Abandoned(took)
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -21,6 +21,7 @@
 	"github.com/sirupsen/logrus"
 
 	"geraniumstep.org/geraniumstep/internal/link"
+	"geraniumstep.org/geraniumstep/internal/memory"
 	"geraniumstep.org/geraniumstep/internal/proto"
 	"geraniumstep.org/geraniumstep/internal/tasks"
 	"geraniumstep.org/geraniumstep/pkg/fleet"
@@ -46,6 +47,7 @@
 	budget      *retry.Budget
 	shardBudget *retry.Budget
 	splitter    *split.Splitter
+	memory      *memory.Pool
 	tracker     *poison.Tracker
 	// share sends crash reports to the other nodes.
 	share   func([]poison.Report)
@@ -101,6 +103,12 @@
 	return func(e *Engine) { e.budget, e.shardBudget = retry.New(opts...), retry.New(opts...) }
 }
 
+// WithMemory sets how many bytes of callers' bodies and upstreams' responses the engine
+// holds at a time. The default is 64 MB.
+func WithMemory(bytes int64) Option { return func(e *Engine) { e.memory = memory.New(bytes) } }
+
+const defaultMemoryBytes = 64 << 20
+
 // WithCrashes sets the tracker of requests that crash upstreams and the function that
 // sends its reports to the other nodes. By default the node has a tracker of its own.
 func WithCrashes(t *poison.Tracker, share func([]poison.Report)) Option {
@@ -117,7 +125,7 @@
 	e := &Engine{
 		dialect: d, log: logrus.NewEntry(logrus.StandardLogger()), dial: link.Dial,
 		budget: retry.New(), shardBudget: retry.New(), splitter: split.New(), metrics: newMetrics(),
-		tracker: poison.New(), share: func([]poison.Report) {},
+		memory: memory.New(defaultMemoryBytes), tracker: poison.New(), share: func([]poison.Report) {},
 	}
 	e.nodes.Store(1)
 	e.gatherers.Store(1)
--- a/internal/relay/gatherer.go
+++ b/internal/relay/gatherer.go
@@ -28,6 +28,8 @@
 	g.engine.gatherCancels.Store(call.ID, cancel)
 	defer g.engine.gatherCancels.Delete(call.ID)
 	r := g.engine.gatherRun(call)
+	r.req.Memory = g.engine.memory.Open()
+	defer r.req.Memory.Close()
 	rejected, release := r.screen()
 	if rejected != nil {
 		reply.NotRun, reply.RetryAfter, reply.Crashes = true, rejected.RetryAfter, g.engine.tracker.ReportsOf(r.fingerprint)
--- a/internal/relay/http.go
+++ b/internal/relay/http.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"geraniumstep.org/geraniumstep/internal/memory"
 	"geraniumstep.org/geraniumstep/internal/proto"
 )
 
@@ -45,31 +45,34 @@
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	req, invalid := h.read(w, r)
-	if invalid != nil {
-		h.write(w, *invalid)
+	account := h.engine.memory.Open()
+	defer account.Close()
+	req, rejection := h.read(w, r, account)
+	if rejection != nil {
+		h.write(w, rejection)
 		return
 	}
 	h.write(w, h.engine.Do(r.Context(), req))
 }
 
-// read reads the complete request, so that it can be sent more than once.
-func (h *Handler) read(w http.ResponseWriter, r *http.Request) (*proto.Request, *proto.Invalid) {
+// read reads the complete request, so that it can be sent more than once. It returns the
+// answer if the request is invalid or does not fit into memory.
+func (h *Handler) read(w http.ResponseWriter, r *http.Request, account *memory.Account) (*proto.Request, proto.Answer) {
 	limit := int64(defaultBodyBytes)
 	if s := h.engine.Routes(); s != nil && s.Limits().MaxBodyBytes() > 0 {
 		limit = s.Limits().MaxBodyBytes()
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := account.ReadAll(http.MaxBytesReader(w, r.Body, limit), limit)
 	if err != nil {
 		return nil, h.bodyError(err)
 	}
 	id, remaining := h.engine.dialect.ReadCaller(r.Header)
 	if id == "" {
-		return nil, &proto.Invalid{Status: http.StatusBadRequest, Reason: "request has no id; send one with each attempt"}
+		return nil, proto.Invalid{Status: http.StatusBadRequest, Reason: "request has no id; send one with each attempt"}
 	}
 	return &proto.Request{
 		ID: id, Caller: callerOf(r), Remaining: remaining, Method: r.Method, Host: r.Host, Target: r.RequestURI, Path: r.URL.EscapedPath(),
-		Header: r.Header, Body: body, Arrived: time.Now(),
+		Header: r.Header, Body: body, Memory: account, Arrived: time.Now(),
 	}, nil
 }
 
@@ -82,12 +85,16 @@
 	return host
 }
 
-func (h *Handler) bodyError(err error) *proto.Invalid {
+func (h *Handler) bodyError(err error) proto.Answer {
+	if errors.Is(err, memory.ErrExhausted) {
+		h.engine.metrics.exhausted.Inc()
+		return proto.Refused{Reason: err.Error(), RetryAfter: defaultRetryAfter}
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return &proto.Invalid{Status: http.StatusRequestEntityTooLarge, Reason: "body is larger than " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"}
+		return proto.Invalid{Status: http.StatusRequestEntityTooLarge, Reason: "body is larger than " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"}
 	}
-	return &proto.Invalid{Status: http.StatusBadRequest, Reason: "body ended early"}
+	return proto.Invalid{Status: http.StatusBadRequest, Reason: "body ended early"}
 }
 
 func (h *Handler) write(w http.ResponseWriter, a proto.Answer) {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -9,6 +9,8 @@
 	sends    *prometheus.CounterVec
 	failures *prometheus.CounterVec
 	broken   *prometheus.CounterVec
+	// exhausted counts messages that were not read for lack of memory.
+	exhausted prometheus.Counter
 	// quarantined counts requests that were rejected because equal ones have
 	// crashed upstreams.
 	quarantined prometheus.Counter
@@ -32,6 +34,8 @@
 			Name: "geraniumstep_relay_failures_total", Help: "Failed attempts by cause."}, []string{"cause"}),
 		broken: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "geraniumstep_relay_broken_total", Help: "Attempts whose connection the upstream closed without a response, by the state of the upstream after that."}, []string{"state"}),
+		exhausted: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "geraniumstep_relay_memory_exhausted_total", Help: "Bodies of callers and responses of upstreams that were not read, because others hold all memory set aside for them."}),
 		quarantined: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "geraniumstep_relay_quarantined_total", Help: "Requests rejected because equal ones have crashed upstreams."}),
 		denied: prometheus.NewCounter(prometheus.CounterOpts{
@@ -46,5 +50,5 @@
 }
 
 func (m *metrics) all() []prometheus.Collector {
-	return []prometheus.Collector{m.requests, m.sends, m.failures, m.broken, m.quarantined, m.denied, m.latency, m.upstream, m.version}
+	return []prometheus.Collector{m.requests, m.sends, m.failures, m.broken, m.exhausted, m.quarantined, m.denied, m.latency, m.upstream, m.version}
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -191,7 +191,9 @@
 	r.engine.metrics.sends.WithLabelValues(s.Reason.String()).Inc()
 	a.upstream.stats.Begin()
 	// A closed engine starts no goroutine, and execute returns.
+	r.req.Memory.Retain()
 	r.engine.tasks.Go(func() {
+		defer r.req.Memory.Close()
 		defer a.upstream.stats.End()
 		d := r.try(a)
 		if !d.ok {
