Limit messages without end from peers, the store and upstreams of the own interface

What callers saw: nothing yet. A message of a peer was read as long as it came (4 GB for a name of that length), a list of the store as long as pages came, and heads of the store and of upstreams up to net/http's 10 MB each.

--- a/internal/cmds/relay.go
+++ b/internal/cmds/relay.go
@@ -67,6 +67,8 @@
 	// store within the few seconds in which changes must be in force.
 	storeKeepAlive = time.Second
 	storeProbes    = 2
+	// maxStoreHeadBytes limits the head of a reply of the store.
+	maxStoreHeadBytes = 64 << 10
 )
 
 func runRelay(ctx context.Context, p Platform, path string, set setup.Relay) error {
@@ -95,7 +97,7 @@
 		Timeout:         time.Second,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: storeKeepAlive, Interval: storeKeepAlive, Count: storeProbes},
 	}
-	return &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: storeIdleTimeout, DisableCompression: true}
+	return &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: storeIdleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxStoreHeadBytes}
 }
 
 // onSIGHUP calls reload on each SIGHUP until stop is called.
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -19,8 +19,12 @@
 	"geraniumstep.org/geraniumstep/pkg/search"
 )
 
-// maxReplyBytes is the maximum size of the body of an upstream's reply.
-const maxReplyBytes = 4 << 20
+const (
+	// maxReplyBytes is the maximum size of the body of an upstream's reply, and
+	// maxHeadBytes that of its head.
+	maxReplyBytes = 4 << 20
+	maxHeadBytes  = 64 << 10
+)
 
 var errReplyTooLarge = fmt.Errorf("reply is larger than %d bytes; lower the template's limit", maxReplyBytes)
 
--- a/internal/front/dispatcher.go
+++ b/internal/front/dispatcher.go
@@ -65,7 +65,9 @@
 		MaxConnsPerHost:     conns,
 		MaxIdleConnsPerHost: conns,
 		DisableCompression:  true,
-		ForceAttemptHTTP2:   false,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
+		ForceAttemptHTTP2:      false,
 	}
 	f.transport(t)
 	opts := append([]gate.Option{gate.WithSlots(slots)}, f.gateOpts...)
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -10,12 +10,37 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// bufferBytes is the size of each of the two buffers of a connection.
-const bufferBytes = 16 << 10
+const (
+	// bufferBytes is the size of each of the two buffers of a connection.
+	bufferBytes = 16 << 10
+	// maxMessageBytes limits a message with its header. The largest are full copies
+	// of the catalogue or of the platform's store.
+	maxMessageBytes = 32 << 20
+)
+
+var errMessageTooLarge = errors.New("message of a peer exceeds the size limit")
+
+// messageLimiter fails after maxMessageBytes of one message, which the decoder would
+// hold in memory.
+type messageLimiter struct {
+	reader io.Reader
+	left   int
+}
+
+// Read implements io.Reader.
+func (l *messageLimiter) Read(p []byte) (int, error) {
+	if l.left == 0 {
+		return 0, errMessageTooLarge
+	}
+	n, err := l.reader.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
 
 // stream encodes and decodes messages on a connection.
 type stream struct {
 	conn    io.ReadWriteCloser
+	limiter *messageLimiter
 	decoder *msgpack.Decoder
 	encoder *msgpack.Encoder
 	buffer  *bufio.Writer
@@ -24,9 +49,11 @@
 
 func newStream(conn io.ReadWriteCloser) *stream {
 	buffer := bufio.NewWriterSize(conn, bufferBytes)
+	limiter := &messageLimiter{reader: conn}
 	return &stream{
 		conn:    conn,
-		decoder: msgpack.NewDecoder(bufio.NewReaderSize(conn, bufferBytes)),
+		limiter: limiter,
+		decoder: msgpack.NewDecoder(bufio.NewReaderSize(limiter, bufferBytes)),
 		encoder: msgpack.NewEncoder(buffer),
 		buffer:  buffer,
 	}
@@ -39,6 +66,12 @@
 	return s.buffer.Flush()
 }
 
+// readHeader decodes the header of the next message.
+func (s *stream) readHeader(head any) error {
+	s.limiter.left = maxMessageBytes
+	return s.decoder.Decode(head)
+}
+
 // readBody decodes a body, or skips it if body is nil, which net/rpc passes when no call
 // is waiting for it.
 func (s *stream) readBody(body any) error {
@@ -65,7 +98,7 @@
 // WriteRequest, ReadResponseHeader and ReadResponseBody implement rpc.ClientCodec.
 func (c clientCodec) WriteRequest(r *rpc.Request, body any) error { return c.write(r, body) }
 
-func (c clientCodec) ReadResponseHeader(r *rpc.Response) error { return c.decoder.Decode(r) }
+func (c clientCodec) ReadResponseHeader(r *rpc.Response) error { return c.readHeader(r) }
 
 func (c clientCodec) ReadResponseBody(body any) error { return c.readBody(body) }
 
@@ -77,7 +110,7 @@
 }
 
 // ReadRequestHeader, ReadRequestBody and WriteResponse implement rpc.ServerCodec.
-func (c serverCodec) ReadRequestHeader(r *rpc.Request) error { return c.decoder.Decode(r) }
+func (c serverCodec) ReadRequestHeader(r *rpc.Request) error { return c.readHeader(r) }
 
 func (c serverCodec) ReadRequestBody(body any) error { return c.readBody(body) }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -143,3 +143,36 @@
 		t.Errorf("Call() after the peer's stop = %v, want ErrUnsent", err)
 	}
 }
+
+// A message without end must close the connection and must not fill the memory.
+func TestMessageWithoutEndClosesTheConnection(t *testing.T) {
+	addr, stop := serve(t, &Node{})
+	defer stop()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	// A map with one key, whose name is 4 GB long.
+	if _, err := conn.Write([]byte{0x81, 0xdb, 0xff, 0xff, 0xff, 0xff}); err != nil {
+		t.Fatal(err)
+	}
+	chunk := make([]byte, 1<<20)
+	sent := 0
+	for err == nil {
+		var n int
+		n, err = conn.Write(chunk)
+		sent += n
+	}
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		t.Fatalf("Write() = %v after %d bytes, want a closed connection", err, sent)
+	}
+	// The limit and what the sockets hold.
+	if limit := 64 << 20; sent > limit {
+		t.Errorf("bytes accepted = %d, want at most %d", sent, limit)
+	}
+}
