relay: send one leg of a new search ahead of the others

Cause: all legs of a search leave at once.

Change: one leg with an upstream in the local failure domain is sent 3 ms before the others, unless the search is proven. If its connection breaks within that time, the other legs wait as for any request in doubt. A node that gathers for another sends at once, because the caller's node has sent a leg already.

Kept: a search that crashes servers would otherwise take as many of them as it has shards.

Evidence: TestLeaderThatBreaksHoldsAllOtherLegs, TestLegsFollowTheLeader.

--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -250,6 +250,9 @@
 // called it must learn why and send nothing itself.
 func TestPeerRejectsQuarantinedSearch(t *testing.T) {
 	p := newNodePair(t, 1)
+	for _, up := range p.nearUps {
+		up.setHandler(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	}
 	f := fingerprintOf(requestTo("search", "/crash", "c-1"))
 	for i := range 2 {
 		p.far.tracker.RecordCrash(fmt.Sprintf("u%d/1", i), time.Now(), []poison.Run{{Fingerprint: f, Sent: time.Now()}})
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -273,6 +274,12 @@
 	return place.OtherRegion
 }
 
+// isLocal reports whether the service has an upstream in the local failure domain.
+func (d *directory) isLocal(service string) bool {
+	s, ok := d.byService[service]
+	return ok && slices.ContainsFunc(s.stats, func(s *place.Stats) bool { return s.Distance() == place.SameDomain })
+}
+
 // pick chooses an upstream of the service by its statistics and the time left until
 // the target. It returns nil if there is none.
 func (d *directory) pick(service string, left time.Duration, excluded func(u *upstream) bool) *upstream {
--- a/internal/relay/gathercall.go
+++ b/internal/relay/gathercall.go
@@ -32,6 +32,8 @@
 	// Cautious reports that the caller's node suspects the request of crashing
 	// upstreams.
 	Cautious bool `msgpack:"c,omitempty"`
+	// Led reports that the caller's node has sent a leg ahead of these.
+	Led bool `msgpack:"w,omitempty"`
 }
 
 // GatherReply holds the merged responses of the shards of a GatherCall.
--- a/internal/relay/gatherer.go
+++ b/internal/relay/gatherer.go
@@ -71,7 +71,7 @@
 		vhost.WithTimeout(call.Deadline), vhost.WithTarget(call.Soft))
 	return &run{
 		engine: e, req: req, route: route, version: call.Version, fingerprint: call.Fingerprint, directory: e.upstreams.Load(),
-		gather: true, topK: call.TopK, hops: call.Hops, cautious: call.Cautious,
+		gather: true, topK: call.TopK, hops: call.Hops, cautious: call.Cautious, led: call.Led,
 		plan: fanout.Plan{
 			Cautious: call.Cautious, Services: call.Services, MinAnswered: max(call.MinLegs, 1), MaxAttempts: max(call.Attempts, 1), Idempotent: true,
 			SoftDeadline: now.Add(call.Soft), Deadline: now.Add(call.Deadline),
--- a/internal/relay/peergroup.go
+++ b/internal/relay/peergroup.go
@@ -32,11 +32,12 @@
 // peerGroup is a set of legs that another node gathers. It takes the place of an
 // upstream in the first attempt of each leg.
 type peerGroup struct {
-	peer      *peerNode
-	call      CallFunc
-	services  []string
-	attempts  []int
-	id        string
+	peer     *peerNode
+	call     CallFunc
+	services []string
+	attempts []int
+	id       string
+	// startedAt is when the peer was called, or zero before that.
 	startedAt time.Time
 
 	// answered reports that the reply was accepted: body holds the merged
@@ -104,11 +105,10 @@
 	}
 }
 
-// startGroups calls the peers. It must be called after the machine has assigned all
-// legs.
+// startGroups calls the peers whose legs the machine has assigned.
 func (r *run) startGroups() {
 	for _, g := range r.groups {
-		if len(g.attempts) == 0 || !r.permits.acquire() {
+		if len(g.attempts) == 0 || !g.startedAt.IsZero() || !r.permits.acquire() {
 			continue
 		}
 		g.startedAt = time.Now()
@@ -138,7 +138,7 @@
 	return &GatherCall{
 		ID: g.id, Request: r.req.ID, Route: r.route.Name(), Method: r.req.Method, Host: r.req.Host, Target: r.req.Target,
 		Header: r.endToEnd(), Body: r.req.Body, Services: g.services, TopK: r.topK, MinLegs: minLegs,
-		Attempts: r.plan.MaxAttempts, Priority: r.route.Priority(), Hops: r.hops + 1, Version: r.version, Fingerprint: r.fingerprint, Cautious: r.cautious,
+		Attempts: r.plan.MaxAttempts, Priority: r.route.Priority(), Hops: r.hops + 1, Version: r.version, Fingerprint: r.fingerprint, Cautious: r.cautious, Led: r.plan.Lead > 0 || r.led,
 		Soft: soft.Sub(now), Deadline: r.plan.Deadline.Sub(now) - replyMargin,
 	}
 }
@@ -258,7 +258,7 @@
 // cancelGroups cancels the calls to peers that have not replied.
 func (r *run) cancelGroups() {
 	for _, g := range r.groups {
-		if len(g.attempts) == 0 || g.legs != nil {
+		if g.startedAt.IsZero() || g.legs != nil {
 			continue
 		}
 		g.peer.stats.Abandoned(time.Since(g.startedAt))
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -35,6 +35,8 @@
 	version uint64
 	// fingerprint identifies equal requests of the same caller.
 	fingerprint poison.Fingerprint
+	// led reports that another node has sent a leg of the search ahead of the others.
+	led bool
 	// cautious reports whether the request is suspected of crashing upstreams.
 	cautious  bool
 	directory *directory
@@ -99,12 +101,13 @@
 	r.stopped = make(chan struct{})
 	defer close(r.stopped)
 	r.planGroups()
+	r.planLeader()
 	r.machine = fanout.New(r.plan, r)
 	timer := time.NewTimer(time.Until(r.plan.Deadline))
 	defer timer.Stop()
 	outcome, finished := r.apply(fanout.Start{})
-	r.startGroups()
 	for !finished {
+		r.startGroups()
 		timer.Reset(time.Until(r.machine.Wake()))
 		select {
 		case ev := <-r.events:
--- a/internal/relay/screen.go
+++ b/internal/relay/screen.go
@@ -8,6 +8,10 @@
 	"geraniumstep.org/geraniumstep/pkg/poison"
 )
 
+// leadTime is how long one leg of a new search is ahead of the others. A crash within
+// the failure domain shows within it, and it is short compared with any target in use.
+const leadTime = 3 * time.Millisecond
+
 // suspectRetryAfter is the Retry-After delay of a request that is equal to one that is
 // being sent to a single upstream because it may crash it. A result is known by then.
 const suspectRetryAfter = 500 * time.Millisecond
@@ -48,6 +52,25 @@
 	return nil, func() {}
 }
 
+// planLeader chooses the leg of a new search that is sent before the others, so that a
+// search that crashes upstreams does not reach one of each shard at once. It is one with
+// an upstream in the local failure domain, where a crash shows soonest.
+func (r *run) planLeader() {
+	if !r.gather || r.led || r.engine.tracker.Verdict(r.fingerprint) != poison.Novel {
+		return
+	}
+	n := len(r.plan.Services)
+	first := int(r.engine.tickets.Add(1) % uint64(max(n, 1)))
+	for k := range n {
+		i := (first + k) % n
+		service := r.plan.Services[i]
+		if r.pendingGroups[service] == nil && r.directory.isLocal(service) {
+			r.plan.Leader, r.plan.Lead = i, leadTime
+			return
+		}
+	}
+}
+
 // quarantined returns the rejection of a request that is known to crash upstreams.
 func (r *run) quarantined() proto.Refused {
 	r.engine.metrics.quarantined.Inc()
--- a/pkg/fanout/doubt.go
+++ b/pkg/fanout/doubt.go
@@ -17,10 +17,18 @@
 	// trial is the attempt of the trial in flight, if inTrial is set.
 	trial   int
 	inTrial bool
-	// pausedUntil is when the next trial may be sent, or zero.
+	// pausedUntil is when the next trial may be sent, or zero. While the leader of
+	// the request is ahead, it is when the other legs may be sent.
 	pausedUntil time.Time
 }
 
+// lead holds all other legs until the given time, once the leader has been sent.
+func (d *doubt) lead(until time.Time) {
+	if !d.active {
+		d.pausedUntil = until
+	}
+}
+
 // resolve ends the doubt for good.
 func (d *doubt) resolve() { *d = doubt{resolved: true} }
 
@@ -37,7 +45,7 @@
 	case wasTrial:
 		d.pausedUntil = now.Add(checkTime)
 	default:
-		d.active = true
+		d.active, d.pausedUntil = true, time.Time{}
 	}
 }
 
@@ -60,7 +68,7 @@
 	if f.deps.Blocked() {
 		return false
 	}
-	return !f.doubt.active || !f.doubt.inTrial && f.doubt.pausedUntil.IsZero()
+	return f.doubt.pausedUntil.IsZero() && !(f.doubt.active && f.doubt.inTrial)
 }
 
 // releaseHeld sends the legs that were held and may be sent now. It fails them if the
--- a/pkg/fanout/doubt_test.go
+++ b/pkg/fanout/doubt_test.go
@@ -142,3 +142,56 @@
 		}
 	})
 }
+
+// A new search sends one leg ahead. If that crashes its upstream, the search must not
+// reach the upstreams of all other shards.
+func TestLeaderThatBreaksHoldsAllOtherLegs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		deps := &fakeDeps{hedgeAfter: 30 * time.Millisecond, expected: 5 * time.Millisecond, budget: 100}
+		p := plan(20, 18)
+		p.Lead, p.Leader = 3*time.Millisecond, 7
+		f := New(p, deps)
+		leader := append([]Send(nil), sends(f.Step(Start{}))...)
+		if len(leader) != 1 || leader[0].Leg != 7 {
+			t.Fatalf("sends at the start = %v, want leg 7", leader)
+		}
+		time.Sleep(time.Millisecond)
+		trial := breakAll(f, leader)
+		if len(trial) != 1 {
+			t.Fatalf("sends after the leader broke = %v, want one trial", trial)
+		}
+		deps.blocked = true
+		breakAll(f, trial)
+		time.Sleep(time.Until(f.Wake()))
+		if got := sends(f.Step(Tick{})); len(got) != 0 || f.openLegs != 0 {
+			t.Errorf("sends of the blocked search = %v with %d open legs, want none", got, f.openLegs)
+		}
+	})
+}
+
+// The other legs follow when the leader has answered, or after the lead, if there is an
+// upstream for the leader at all.
+func TestLegsFollowTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := plan(20, 18)
+		p.Lead, p.Leader = 3*time.Millisecond, 7
+		answered := New(p, &fakeDeps{hedgeAfter: time.Second})
+		leader := sends(answered.Step(Start{}))[0].Attempt
+		if got, want := len(sends(answered.Step(Answered{Attempt: leader}))), 19; got != want {
+			t.Errorf("sends after the leader answered = %d, want %d", got, want)
+		}
+		slow := New(p, &fakeDeps{hedgeAfter: time.Second})
+		start := time.Now()
+		slow.Step(Start{})
+		time.Sleep(time.Until(slow.Wake()))
+		if got, want := len(sends(slow.Step(Tick{}))), 19; got != want || time.Since(start) != p.Lead {
+			t.Errorf("sends %v after the leader = %d, want %d after %v", time.Since(start), got, want, p.Lead)
+		}
+		none := &fakeDeps{hedgeAfter: time.Second, none: true}
+		without := New(p, none)
+		without.Step(Start{})
+		if got := time.Until(without.Wake()); got < retryInterval {
+			t.Errorf("Wake() without any upstream is in %v, want %v", got, retryInterval)
+		}
+	})
+}
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -92,9 +92,7 @@
 	f.doubt.expirePause(now)
 	switch ev := ev.(type) {
 	case Start:
-		for i := range f.legs {
-			f.startLeg(i, now)
-		}
+		f.start(now)
 	case Answered:
 		f.doubt.resolve()
 		f.handleAnswered(ev.Attempt)
@@ -111,6 +109,21 @@
 	return f.actions
 }
 
+// start sends the legs, the leader first.
+func (f *Fanout) start(now time.Time) {
+	if f.plan.Lead > 0 && len(f.legs) > 1 {
+		f.startLeg(f.plan.Leader, now)
+		if f.legs[f.plan.Leader].sends > 0 {
+			f.doubt.lead(now.Add(f.plan.Lead))
+		}
+	}
+	for i := range f.legs {
+		if f.legs[i].sends == 0 {
+			f.startLeg(i, now)
+		}
+	}
+}
+
 // startLeg sends the first attempt of a leg.
 func (f *Fanout) startLeg(i int, now time.Time) {
 	if !f.maySend() {
--- a/pkg/fanout/types.go
+++ b/pkg/fanout/types.go
@@ -32,6 +32,10 @@
 	// Cautious reports that the request is suspected of crashing upstreams. It
 	// then goes to a single upstream until that has run it to its end.
 	Cautious bool
+	// Lead is how long the leg Leader is sent before the others, unless it answers
+	// earlier. If its connection breaks within that time, the others wait.
+	Lead   time.Duration
+	Leader int
 	// SoftDeadline is when an answer must be sent to meet the latency target.
 	// From then on the request ends as soon as MinAnswered legs have answered.
 	SoftDeadline time.Time
