poison: crashes that follow each other closely are one trial

Cause: a crash counted as another trial as soon as the request was sent after the one before.

Change: another trial begins 300 ms after the crash before. A request in doubt waits for that, and a suspect too, so that no upstream is lost without a result; one whose upstreams are found alive continues after 120 ms.

--- a/internal/relay/deps.go
+++ b/internal/relay/deps.go
@@ -54,6 +54,9 @@
 	return r.engine.tracker.Verdict(r.fingerprint) == poison.Quarantined
 }
 
+// NextTrial implements fanout.Deps.
+func (r *run) NextTrial() time.Time { return r.engine.tracker.NextTrial(r.fingerprint) }
+
 // countFirst counts a first attempt by this node, which adds to the budget.
 func (r *run) countFirst(service string) { r.extraBudget().Count(service, 1) }
 
--- a/pkg/fanout/doubt.go
+++ b/pkg/fanout/doubt.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// checkTime is how long a request pauses after a crash during a trial, so that the
-// upstream can be checked and the result reach Deps.Blocked.
+// checkTime is how long a request pauses after a connection broke in a trial, so that
+// the upstream can be checked and the result reach Deps.
 const checkTime = 120 * time.Millisecond
 
 // doubt limits the sends of a request that may be crashing its upstreams: one whose
@@ -49,8 +49,12 @@
 	}
 }
 
-// expirePause ends a pause whose time has passed.
-func (d *doubt) expirePause(now time.Time) {
+// updatePause extends a pause until the next trial counts, and ends it if its time has
+// passed.
+func (d *doubt) updatePause(now, nextTrial time.Time) {
+	if d.active && !d.inTrial && nextTrial.After(d.pausedUntil) {
+		d.pausedUntil = nextTrial
+	}
 	if !now.Before(d.pausedUntil) {
 		d.pausedUntil = time.Time{}
 	}
--- a/pkg/fanout/doubt_test.go
+++ b/pkg/fanout/doubt_test.go
@@ -195,3 +195,23 @@
 		}
 	})
 }
+
+// A suspect waits until its next crash would count, so that no upstream is lost without
+// a result.
+func TestSuspectWaitsForTheNextTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const wait = 250 * time.Millisecond
+		p := plan(1, 1)
+		p.Cautious = true
+		f := New(p, &fakeDeps{hedgeAfter: time.Second, nextTrial: time.Now().Add(wait)})
+		start := time.Now()
+		sent := sends(f.Step(Start{}))
+		for len(sent) == 0 && time.Since(start) < time.Second {
+			time.Sleep(time.Until(f.Wake()))
+			sent = sends(f.Step(Tick{}))
+		}
+		if got := time.Since(start); got != wait {
+			t.Errorf("sent after %v, want %v", got, wait)
+		}
+	})
+}
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -89,7 +89,7 @@
 		return f.actions
 	}
 	now := time.Now()
-	f.doubt.expirePause(now)
+	f.doubt.updatePause(now, f.deps.NextTrial())
 	switch ev := ev.(type) {
 	case Start:
 		f.start(now)
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -15,6 +15,7 @@
 	none         bool
 	unreliable   bool
 	blocked      bool
+	nextTrial    time.Time
 	// speculative counts the calls of SpendSpeculative.
 	speculative int
 }
@@ -30,6 +31,8 @@
 
 func (d *fakeDeps) Blocked() bool { return d.blocked }
 
+func (d *fakeDeps) NextTrial() time.Time { return d.nextTrial }
+
 func (d *fakeDeps) HedgeAfter(Upstream) time.Duration { return d.hedgeAfter }
 
 func (d *fakeDeps) ExpectedLatency(_ string, tried []Upstream) (time.Duration, bool) {
--- a/pkg/fanout/types.go
+++ b/pkg/fanout/types.go
@@ -70,6 +70,9 @@
 	// Blocked reports whether the request is known to crash upstreams, so that
 	// it must not be sent to another one.
 	Blocked() bool
+	// NextTrial returns when the next send of a request that may have crashed
+	// upstreams shows whether it does. It may be in the past.
+	NextTrial() time.Time
 }
 
 // Event is an input of Step: Start, Answered, Failed or Tick.
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -5,9 +5,9 @@
 // upstream is proven. When an upstream crashes, every unproven fingerprint in flight
 // on it becomes a suspect, and a success clears it. A fingerprint is quarantined for a
 // bounded time after two trials that ended in a crash, if it was the only suspect of
-// one of them, and after three trials otherwise. A trial is a send that began after
-// the crash of the trial before: crashes at the same moment, such as those of a failure
-// domain or of all shards of one search, are one trial.
+// one of them, and after three trials otherwise. A trial is a send that began some time
+// after the crash of the trial before: crashes at the same moment, such as those of a
+// failure domain or of all shards of one search, are one trial.
 //
 //	t := poison.New()
 //	reports := t.RecordCrash("seat-finder-3-a/1", crashedAt, inFlight)
@@ -159,6 +159,16 @@
 	})
 }
 
+// NextTrial returns the time from which another crash of the fingerprint would be another
+// trial. It is in the past if none is on record.
+func (t *Tracker) NextTrial(f Fingerprint) time.Time {
+	r, ok := t.records.Peek(f)
+	if !ok || len(r.trials) == 0 {
+		return time.Time{}
+	}
+	return r.trials[len(r.trials)-1].ended.Add(TrialGap)
+}
+
 // Succeeded reports whether a request with the fingerprint has completed since the
 // given time.
 func (t *Tracker) Succeeded(f Fingerprint, since time.Time) bool {
@@ -177,7 +187,7 @@
 		if len(inFlight) > 1 && t.proven.Contains(run.Fingerprint) {
 			continue
 		}
-		r := Report{Kind: Crashed, Fingerprint: run.Fingerprint, Crash: crash, Age: age, Canceled: run.Canceled}
+		r := Report{Kind: Crashed, Fingerprint: run.Fingerprint, Crash: crash, Age: age, Canceled: run.Canceled, Separate: run.Sent.IsZero()}
 		if !run.Sent.IsZero() {
 			r.Ran = max(at.Sub(run.Sent), 0)
 		}
--- a/pkg/poison/record.go
+++ b/pkg/poison/record.go
@@ -13,6 +13,10 @@
 	// crashesToConvict is that number if it always had company, or if it has
 	// completed before.
 	crashesToConvict = 3
+	// TrialGap is the time after a crash within which further crashes belong to the
+	// same trial. Upstreams of a failure domain that goes down crash one after the
+	// other, and requests are sent again at once to some that are about to.
+	TrialGap = 300 * time.Millisecond
 	// clockTolerance is the error of a time that another node reported as an age,
 	// because of the message's delay.
 	clockTolerance = 200 * time.Millisecond
@@ -39,8 +43,10 @@
 	crash string
 	sent  time.Time
 	ended time.Time
-	// canceled reports that the request may not have run.
+	// canceled reports that the request may not have run, and separate that it is a
+	// trial of its own whenever it was sent.
 	canceled bool
+	separate bool
 }
 
 // suspects holds who may have caused one crash, without canceled requests.
@@ -87,11 +93,11 @@
 }
 
 // count returns the number of consecutive trials, and whether any of them was alone.
-// Overlapping trials count once, because none was sent after the crash of another.
+// Those that were not sent TrialGap after the crash of another count once.
 func (r record) count(alone func(crash string) bool) (trials int, anyAlone bool) {
 	var end time.Time
 	for _, t := range r.trials {
-		if trials == 0 || !t.sent.Before(end) {
+		if trials == 0 || t.separate || !t.sent.Before(end.Add(TrialGap)) {
 			trials++
 			end = t.ended
 		}
--- a/pkg/poison/report.go
+++ b/pkg/poison/report.go
@@ -25,6 +25,8 @@
 	// request was sent.
 	Age time.Duration `msgpack:"a"`
 	Ran time.Duration `msgpack:"r"`
+	// Separate reports that the crash is a trial of its own.
+	Separate bool `msgpack:"s,omitempty"`
 	// Canceled reports that the request was canceled before the crash.
 	Canceled bool `msgpack:"x,omitempty"`
 }
@@ -56,7 +58,7 @@
 	next, added := old, false
 	switch r.Kind {
 	case Crashed:
-		next, added = old.with(trial{crash: r.Crash, sent: at.Add(-max(r.Ran, 0)), ended: at, canceled: r.Canceled})
+		next, added = old.with(trial{crash: r.Crash, sent: at.Add(-max(r.Ran, 0)), ended: at, canceled: r.Canceled, separate: r.Separate})
 	case Cleared:
 		next, added = old.cleared(at)
 	case Rejected:
@@ -104,7 +106,7 @@
 		list = append(list, Report{Kind: Cleared, Fingerprint: f, Age: now.Sub(r.clearedAt)})
 	}
 	for _, tr := range r.trials {
-		list = append(list, Report{Kind: Crashed, Fingerprint: f, Crash: tr.crash, Age: now.Sub(tr.ended), Ran: tr.ended.Sub(tr.sent), Canceled: tr.canceled})
+		list = append(list, Report{Kind: Crashed, Fingerprint: f, Crash: tr.crash, Age: now.Sub(tr.ended), Ran: tr.ended.Sub(tr.sent), Canceled: tr.canceled, Separate: tr.separate})
 	}
 	if !r.rejectedAt.IsZero() {
 		list = append(list, Report{Kind: Rejected, Fingerprint: f, Age: now.Sub(r.rejectedAt)})
