keep: quarantines outlive all nodes

What callers saw: nothing yet. When all nodes end at once, a request that crashes servers is unknown again and ends two or three more servers; at the second time that breaks BUDGET.

Cause: the evidence is in the memory of the nodes only.

A node that learns of a quarantine late counts rejected requests before it drops crashes that are long past.

--- a/internal/cmds/relay.go
+++ b/internal/cmds/relay.go
@@ -15,6 +15,7 @@
 
 	"geraniumstep.org/geraniumstep/internal/daemon"
 	"geraniumstep.org/geraniumstep/internal/follow"
+	"geraniumstep.org/geraniumstep/internal/keep"
 	"geraniumstep.org/geraniumstep/internal/logs"
 	"geraniumstep.org/geraniumstep/internal/proto"
 	"geraniumstep.org/geraniumstep/internal/setup"
@@ -26,6 +27,8 @@
 	Dialect() proto.Dialect
 	// Source returns a reader of the store at the URL.
 	Source(url string, transport http.RoundTripper) follow.Source
+	// Records returns the tier's own records in the store at the URL.
+	Records(url string, transport http.RoundTripper) keep.Store
 }
 
 func relayCommand(p Platform) *cli.Command {
@@ -83,7 +86,9 @@
 	stop := onSIGHUP(func() { reloadLogLevel(log, path) })
 	defer stop()
 	entry := log.WithField("vm", set.VM)
-	d, err := daemon.New(set, p.Dialect(), p.Source(set.Platform.URL, storeTransport()), daemon.WithLog(entry))
+	transport := storeTransport()
+	d, err := daemon.New(set, p.Dialect(), p.Source(set.Platform.URL, transport),
+		daemon.WithLog(entry), daemon.WithRecords(p.Records(set.Platform.URL, transport)))
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/sirupsen/logrus"
 
 	"geraniumstep.org/geraniumstep/internal/follow"
+	"geraniumstep.org/geraniumstep/internal/keep"
 	"geraniumstep.org/geraniumstep/internal/link"
 	"geraniumstep.org/geraniumstep/internal/mesh"
 	"geraniumstep.org/geraniumstep/internal/proto"
@@ -66,6 +67,8 @@
 	life     *life.Node
 	registry *prometheus.Registry
 	crashes  *poison.Tracker
+	// keeper saves quarantines in the store; nil if they are not saved.
+	keeper *keep.Keeper
 
 	callers net.Listener
 	ready   net.Listener
@@ -80,6 +83,12 @@
 // WithLog sets the log. The default is logrus's standard logger.
 func WithLog(log *logrus.Entry) Option { return func(d *Daemon) { d.log = log } }
 
+// WithRecords sets where quarantines are saved. By default they are lost when all nodes
+// end.
+func WithRecords(s keep.Store) Option {
+	return func(d *Daemon) { d.keeper = keep.New(s, d.crashes, keep.WithLog(d.log)) }
+}
+
 // New returns a daemon that listens on the configured addresses. It serves nothing
 // until Run is called.
 func New(settings setup.Relay, dialect proto.Dialect, source follow.Source, opts ...Option) (*Daemon, error) {
@@ -94,6 +103,7 @@
 		relay.WithBudget(retry.WithRatio(b.Ratio), retry.WithAllowance(b.Allowance), retry.WithWindow(b.Window)),
 		relay.WithMemory(int64(messageMemoryRatio*float64(settings.MemoryMB)*(1<<20))),
 		relay.WithCrashes(d.crashes, d.shareCrashes),
+		relay.WithQuarantined(d.saveQuarantine),
 		relay.WithRegistry(d.registry),
 	)
 	d.engine.SetNodes(b.Nodes, b.Nodes)
@@ -132,6 +142,13 @@
 // shareCrashes sends reports of crashed upstreams to the other nodes.
 func (d *Daemon) shareCrashes(reports []poison.Report) { d.mesh.Share(reports) }
 
+// saveQuarantine saves a quarantine that this node has imposed.
+func (d *Daemon) saveQuarantine(f poison.Fingerprint) {
+	if d.keeper != nil {
+		d.keeper.Save(f)
+	}
+}
+
 // membersChanged divides the budget and the connections among all known nodes, and
 // selects the gatherers, which send shard requests for the other nodes. Dead nodes
 // still count for the budget, because what they spent is still within the window.
@@ -195,6 +212,9 @@
 		group.Add(func() error { return f.Run(work) }, func(error) { stop() })
 	}
 	group.Add(func() error { return d.state.run(work) }, func(error) { stop() })
+	if d.keeper != nil {
+		group.Add(func() error { return d.keepRecords(work) }, func(error) { stop() })
+	}
 	group.Add(func() error { return d.mesh.Run(work) }, func(error) { stop() })
 	group.Add(func() error {
 		err := serve(callers, d.callers)
@@ -211,6 +231,13 @@
 	return err
 }
 
+// keepRecords runs the keeper until the context is done.
+func (d *Daemon) keepRecords(work context.Context) error {
+	err := d.keeper.Run(work)
+	<-work.Done()
+	return err
+}
+
 // awaitStop waits until ctx is done and then shuts down in steps: it reports not
 // ready, waits until the load balancer has noticed, accepts no more connections,
 // and waits for the requests in flight.
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -193,6 +193,7 @@
 				"fingerprint": formatFingerprint(r.Fingerprint), "upstream": u.entry.ID(),
 				"remaining_s": e.tracker.Remaining(r.Fingerprint).Seconds(),
 			}).Warn("relay: request is quarantined, because it crashes upstreams.")
+			e.quarantined(r.Fingerprint)
 		}
 	}
 	e.share(reports)
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -51,9 +51,11 @@
 	memory      *memory.Pool
 	tracker     *poison.Tracker
 	// share sends crash reports to the other nodes.
-	share   func([]poison.Report)
-	metrics *metrics
-	tickets atomic.Uint64
+	share func([]poison.Report)
+	// quarantined is called when this node quarantines a request.
+	quarantined func(poison.Fingerprint)
+	metrics     *metrics
+	tickets     atomic.Uint64
 
 	peers         atomic.Pointer[peers]
 	gatherCancels sync.Map // maps the ID of a gather for another node to its cancel function
@@ -104,6 +106,11 @@
 	return func(e *Engine) { e.budget, e.shardBudget = retry.New(opts...), retry.New(opts...) }
 }
 
+// WithQuarantined sets a function that is called when this node quarantines a request.
+func WithQuarantined(f func(poison.Fingerprint)) Option {
+	return func(e *Engine) { e.quarantined = f }
+}
+
 // WithMemory sets how many bytes of callers' bodies and upstreams' responses the engine
 // holds at a time. The default is 64 MB.
 func WithMemory(bytes int64) Option { return func(e *Engine) { e.memory = memory.New(bytes) } }
@@ -126,7 +133,7 @@
 	e := &Engine{
 		dialect: d, log: logrus.NewEntry(logrus.StandardLogger()), dial: link.Dial,
 		budget: retry.New(), shardBudget: retry.New(), splitter: split.New(), metrics: newMetrics(),
-		memory: memory.New(defaultMemoryBytes), tracker: poison.New(), share: func([]poison.Report) {},
+		memory: memory.New(defaultMemoryBytes), tracker: poison.New(), share: func([]poison.Report) {}, quarantined: func(poison.Fingerprint) {},
 	}
 	e.nodes.Store(1)
 	e.gatherers.Store(1)
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -313,3 +313,21 @@
 		}
 	})
 }
+
+// A node that starts late must learn of a quarantine whose crashes are long past, but
+// which rejected requests have prolonged.
+func TestProlongedQuarantineReachesNewNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := poison.New(poison.WithRetention(time.Minute)), poison.New(poison.WithRetention(time.Minute))
+		a.RecordCrash("u0/1", time.Now(), runs(1))
+		a.RecordCrash("u1/1", time.Now(), runs(1))
+		for range 5 {
+			time.Sleep(50 * time.Second)
+			a.RecordRejection(1)
+		}
+		b.Merge(a.Reports())
+		if got, want := b.Verdict(1), poison.Quarantined; got != want {
+			t.Errorf("Verdict() = %v, want %v", got, want)
+		}
+	})
+}
--- a/pkg/poison/record.go
+++ b/pkg/poison/record.go
@@ -56,9 +56,9 @@
 	several bool
 }
 
-// with returns the record with the trial added, or false if it is known already or
+// crashed returns the record with the trial added, or false if it is known already or
 // began before the last success.
-func (r record) with(t trial) (record, bool) {
+func (r record) crashed(t trial) (record, bool) {
 	known := slices.ContainsFunc(r.trials, func(k trial) bool { return k.crash == t.crash })
 	if known || len(r.trials) >= maxTrials || !t.sent.After(r.clearedAt.Add(clockTolerance)) {
 		return r, false
--- a/pkg/poison/report.go
+++ b/pkg/poison/report.go
@@ -1,6 +1,9 @@
 package poison
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Kind is what a Report says of a fingerprint.
 type Kind uint8
@@ -35,45 +38,69 @@
 // must be merged when they are received, because they hold ages.
 func (t *Tracker) Merge(reports []Report) []Report { return t.mergeAt(reports, time.Now()) }
 
-// mergeAt adds reports whose ages count from now.
+// mergeAt adds reports whose ages count from now. The reports of a fingerprint count
+// together: a rejection shows that crashes which are long past still count.
 func (t *Tracker) mergeAt(reports []Report, now time.Time) []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	changed := make(map[Fingerprint]record)
 	var added []Report
 	for _, r := range reports {
-		if t.add(r, now) {
+		old, ok := changed[r.Fingerprint]
+		if !ok {
+			old = t.current(r.Fingerprint, now)
+		}
+		if next, ok := old.with(r, now); ok {
+			changed[r.Fingerprint] = next
 			added = append(added, r)
 		}
 	}
+	for f, r := range changed {
+		if r.expired(now, t.retention) {
+			delete(changed, f)
+			continue
+		}
+		t.records.Add(f, r)
+	}
+	added = slices.DeleteFunc(added, func(r Report) bool {
+		_, kept := changed[r.Fingerprint]
+		return !kept
+	})
+	for _, r := range added {
+		if r.Kind == Crashed && !r.Canceled {
+			t.addSuspect(r.Crash, r.Fingerprint)
+		}
+	}
 	return added
 }
 
-// add must be called with mu held. It reports whether the report was not known.
-func (t *Tracker) add(r Report, now time.Time) bool {
-	old, _ := t.records.Peek(r.Fingerprint)
-	if old.expired(now, t.retention) {
-		old = record{clearedAt: old.clearedAt}
+// current returns the record of a fingerprint without evidence that has expired.
+func (t *Tracker) current(f Fingerprint, now time.Time) record {
+	r, _ := t.records.Peek(f)
+	if r.expired(now, t.retention) {
+		r = record{clearedAt: r.clearedAt}
 	}
-	at := now.Add(-max(r.Age, 0))
-	next, added := old, false
-	switch r.Kind {
+	return r
+}
+
+// with returns the record with the report added, or false if it adds nothing.
+func (r record) with(report Report, now time.Time) (record, bool) {
+	at := now.Add(-max(report.Age, 0))
+	switch report.Kind {
 	case Crashed:
-		next, added = old.with(trial{crash: r.Crash, sent: at.Add(-max(r.Ran, 0)), ended: at, canceled: r.Canceled, separate: r.Separate})
+		return r.crashed(trial{
+			crash: report.Crash, sent: at.Add(-max(report.Ran, 0)), ended: at,
+			canceled: report.Canceled, separate: report.Separate,
+		})
 	case Cleared:
-		next, added = old.cleared(at)
+		return r.cleared(at)
 	case Rejected:
-		next, added = old.rejected(at)
-	}
-	if !added || next.expired(now, t.retention) {
-		return false
-	}
-	if r.Kind == Crashed && !r.Canceled {
-		t.addSuspect(r.Crash, r.Fingerprint)
+		return r.rejected(at)
 	}
-	t.records.Add(r.Fingerprint, next)
-	return true
+	return r, false
 }
 
+// addSuspect must be called with mu held.
 func (t *Tracker) addSuspect(crash string, f Fingerprint) {
 	s, known := t.crashes.Peek(crash)
 	if !known {
