relay: shorten the lead of a new search to 2 ms

Change: 2 ms. A crash in the failure domain shows within that on a connection that is open.

Kept for searches that crash servers.

--- a/internal/relay/screen.go
+++ b/internal/relay/screen.go
@@ -10,7 +10,7 @@
 
 // leadTime is how long one leg of a new search is ahead of the others. A crash within
 // the failure domain shows within it, and it is short compared with any target in use.
-const leadTime = 3 * time.Millisecond
+const leadTime = 2 * time.Millisecond
 
 // suspectRetryAfter is the Retry-After delay of a request that is equal to one that is
 // being sent to a single upstream because it may crash it. A result is known by then.
