--- a/internal/relay/single_test.go
+++ b/internal/relay/single_test.go
@@ -225,3 +225,51 @@
 		t.Errorf("EncodeRequest() = %q, want %q", sent, want)
 	}
 }
+
+// A request that is retried after one of its upstreams began to drain must use the
+// upstreams of that moment, not those of its arrival.
+func TestRetryAvoidsUpstreamThatDrainsMeanwhile(t *testing.T) {
+	a, b, c := newFakeUpstream(t, "up-a"), newFakeUpstream(t, "up-b"), newFakeUpstream(t, "up-c")
+	running, drained := make(chan struct{}), make(chan struct{})
+	a.setHandler(func(w http.ResponseWriter, r *http.Request) {
+		close(running)
+		<-drained
+		abort(w, r)
+	})
+	e := newEngine(t, []*vhost.Route{singleRoute("svc", true)}, a.entry("svc"))
+	go func() {
+		<-running
+		e.SetUpstreams([]fleet.Entry{a.entry("svc"), b.entry("svc", fleet.WithDraining(true)), c.entry("svc")})
+		close(drained)
+	}()
+	answer := e.Do(context.Background(), request("single", "r-1"))
+	if got := proto.Kind(answer); got != "relayed" || b.runs.Load() != 0 || c.runs.Load() != 1 {
+		t.Errorf("answer = %s, runs of the draining and the new upstream = %d, %d, want relayed, 0, 1", got, b.runs.Load(), c.runs.Load())
+	}
+}
+
+// The same for an upstream that was ready when the request arrived.
+func TestRetryAvoidsUpstreamThatBeginsToDrain(t *testing.T) {
+	a, b := newFakeUpstream(t, "up-a"), newFakeUpstream(t, "up-b")
+	running, drained := make(chan string, 2), make(chan struct{})
+	for _, up := range []*fakeUpstream{a, b} {
+		up.setHandler(func(w http.ResponseWriter, r *http.Request) {
+			running <- up.id
+			<-drained
+			abort(w, r)
+		})
+	}
+	e := newEngine(t, []*vhost.Route{singleRoute("svc", true)}, a.entry("svc"), b.entry("svc"))
+	go func() {
+		first, other := a, b
+		if <-running == b.id {
+			first, other = b, a
+		}
+		e.SetUpstreams([]fleet.Entry{first.entry("svc"), other.entry("svc", fleet.WithDraining(true))})
+		close(drained)
+	}()
+	e.Do(context.Background(), request("single", "r-1"))
+	if got := a.runs.Load() + b.runs.Load(); got != 1 {
+		t.Errorf("runs = %d, want 1: the other upstream drains", got)
+	}
+}
