--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -331,3 +331,36 @@
 		}
 	})
 }
+
+// BenchmarkVerdictBesideSuspects is the cost of a request while crashes are on record.
+func BenchmarkVerdictBesideSuspects(b *testing.B) {
+	tr := poison.New()
+	for f := range poison.Fingerprint(1000) {
+		tr.RecordCrash(fmt.Sprintf("u%d/1", f), time.Now(), runs(f))
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		tr.Verdict(poison.Fingerprint(i % 20000))
+	}
+}
+
+func BenchmarkFingerprint(b *testing.B) {
+	for _, size := range []int{0, 1 << 10, 256 << 10} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			body := make([]byte, size)
+			b.ReportAllocs()
+			for b.Loop() {
+				poison.FingerprintOf(body, "GET", "host.example", "/path/with/parameters?page=6", "10.0.0.1")
+			}
+		})
+	}
+}
+
+// BenchmarkRecordSuccess is the cost of each search that is answered.
+func BenchmarkRecordSuccess(b *testing.B) {
+	tr := poison.New()
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		tr.RecordSuccess(poison.Fingerprint(i))
+	}
+}
