memory: one reader that limits what a decoder may hold

Cause: the limits of heads in internal/link and of messages in internal/peer were the same reader written twice.

Change: memory.Limiter serves both. No behavior changes.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -23,6 +23,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"geraniumstep.org/geraniumstep/internal/memory"
 	"geraniumstep.org/geraniumstep/internal/proto"
 )
 
@@ -43,6 +44,12 @@
 	defaultIdleTime = 4 * time.Second
 	idleMargin      = 500 * time.Millisecond
 	readBufferBytes = 4 << 10
+	// maxHeadBytes limits the head of a response, including all interim (1xx)
+	// responses before it.
+	maxHeadBytes = 64 << 10
+	// maxResponseBytes limits the body of an upstream's response, which is held
+	// in memory.
+	maxResponseBytes = 8 << 20
 	// maxSequentialBytes is the largest message that is written completely
 	// before the response is read. The socket accepts it without blocking;
 	// during a longer write the upstream may already respond.
@@ -54,7 +61,7 @@
 // Conn is a connection to an upstream. It carries one request at a time.
 type Conn struct {
 	net.Conn
-	limiter *headLimiter
+	limiter *memory.Limiter
 	reader  *bufio.Reader
 	// reusableUntil is the time until which the idle connection may be reused.
 	// reusable reports whether the last exchange allows that.
@@ -63,7 +70,7 @@
 }
 
 func newConn(raw net.Conn) *Conn {
-	l := &headLimiter{reader: raw}
+	l := memory.NewLimiter(raw)
 	return &Conn{
 		Conn: raw, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes),
 		reusable: true, reusableUntil: time.Now().Add(defaultIdleTime),
@@ -185,8 +192,9 @@
 
 // readHead reads the head of the final response and skips interim (1xx) responses.
 func (c *Conn) readHead(method string) (*http.Response, error) {
-	c.limiter.beginHead()
-	defer c.limiter.endHead()
+	// http.ReadResponse reads lines and headers of any length.
+	c.limiter.Limit(maxHeadBytes)
+	defer c.limiter.Unlimit()
 	for {
 		r, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -8,6 +8,8 @@
 	"sync"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"geraniumstep.org/geraniumstep/internal/memory"
 )
 
 const (
@@ -18,29 +20,10 @@
 	maxMessageBytes = 32 << 20
 )
 
-var errMessageTooLarge = errors.New("message of a peer exceeds the size limit")
-
-// messageLimiter fails after maxMessageBytes of one message, which the decoder would
-// hold in memory.
-type messageLimiter struct {
-	reader io.Reader
-	left   int
-}
-
-// Read implements io.Reader.
-func (l *messageLimiter) Read(p []byte) (int, error) {
-	if l.left == 0 {
-		return 0, errMessageTooLarge
-	}
-	n, err := l.reader.Read(p[:min(len(p), l.left)])
-	l.left -= n
-	return n, err
-}
-
 // stream encodes and decodes messages on a connection.
 type stream struct {
 	conn    io.ReadWriteCloser
-	limiter *messageLimiter
+	limiter *memory.Limiter
 	decoder *msgpack.Decoder
 	encoder *msgpack.Encoder
 	buffer  *bufio.Writer
@@ -49,7 +32,7 @@
 
 func newStream(conn io.ReadWriteCloser) *stream {
 	buffer := bufio.NewWriterSize(conn, bufferBytes)
-	limiter := &messageLimiter{reader: conn}
+	limiter := memory.NewLimiter(conn)
 	return &stream{
 		conn:    conn,
 		limiter: limiter,
@@ -68,7 +51,7 @@
 
 // readHeader decodes the header of the next message.
 func (s *stream) readHeader(head any) error {
-	s.limiter.left = maxMessageBytes
+	s.limiter.Limit(maxMessageBytes)
 	return s.decoder.Decode(head)
 }
 
