internal/front: test that a quarantined request is not sent

What was seen: with the rejection taken out of the front, no test failed: a search is rejected earlier, and the only replicas were down when the script sent its third submission.

Change: TestFrontRejectsQuarantinedRequest, which fails without it.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -135,3 +136,20 @@
 	}
 	t.Errorf("Verdict() = %v, want %v", tracker.Verdict(5), poison.Suspect)
 }
+
+// A front must send no quarantined request to its upstream, of a search or a submission.
+func TestFrontRejectsQuarantinedRequest(t *testing.T) {
+	var runs atomic.Int64
+	s := upstream(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+	f, tracker := newFront(t, s.Listener.Addr().String())
+	for _, crash := range []string{"a/1", "b/1"} {
+		tracker.RecordCrash(crash, time.Now(), []poison.Run{{Fingerprint: 5}})
+	}
+	got := f.Do(t.Context(), newShardRequest(5))
+	if got.OK || !got.Unsent || got.Cause != search.CauseQuarantined || runs.Load() != 0 {
+		t.Errorf("Do() = %+v with %d runs, want %v and none", got, runs.Load(), search.CauseQuarantined)
+	}
+	if f.Do(t.Context(), newShardRequest(6)); runs.Load() != 1 {
+		t.Errorf("runs of another request = %d, want 1", runs.Load())
+	}
+}
