fanout: late breaks do not end the pause of a trial

What callers saw: nothing yet; found by reading the change. A search in doubt whose trial had crashed an upstream was sent on at once if another of its connections was found broken after that, instead of waiting for the check.

Cause: each broken connection began the doubt anew and cleared its pause.

Change: only the first one begins it. Legs that are held are looked for only if there are any.

Evidence: TestLateBreaksDoNotEndThePause failed before.

--- a/pkg/fanout/doubt.go
+++ b/pkg/fanout/doubt.go
@@ -44,7 +44,7 @@
 	case !ev.Broken || d.resolved || answered > 0:
 	case wasTrial:
 		d.pausedUntil = now.Add(checkTime)
-	default:
+	case !d.active:
 		d.active, d.pausedUntil = true, time.Time{}
 	}
 }
@@ -75,18 +75,29 @@
 	return f.doubt.pausedUntil.IsZero() && !(f.doubt.active && f.doubt.inTrial)
 }
 
+// hold makes the leg wait until it may be sent.
+func (f *Fanout) hold(i int) {
+	f.legs[i].held = true
+	f.holding = true
+}
+
 // releaseHeld sends the legs that were held and may be sent now. It fails them if the
 // request is blocked, as soon as nothing is in flight whose answer would unblock it.
 func (f *Fanout) releaseHeld(now time.Time) {
+	if !f.holding {
+		return
+	}
 	if f.deps.Blocked() {
 		f.failIfIdle()
 		return
 	}
+	f.holding = false
 	for i := range f.legs {
 		if !f.legs[i].held || f.legs[i].state != legOpen {
 			continue
 		}
 		if !f.maySend() {
+			f.holding = true
 			return
 		}
 		f.legs[i].held = false
--- a/pkg/fanout/doubt_test.go
+++ b/pkg/fanout/doubt_test.go
@@ -37,6 +37,20 @@
 	})
 }
 
+// Connections that broke before the trial, but are noticed after it, must not end the
+// pause in which its upstream is checked.
+func TestLateBreaksDoNotEndThePause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		deps := &fakeDeps{hedgeAfter: time.Second, expected: 5 * time.Millisecond, budget: 100}
+		f := New(plan(20, 18), deps)
+		first := append([]Send(nil), sends(f.Step(Start{}))...)
+		trial := breakAll(f, first[:1])
+		if got := breakAll(f, append(trial, first[1:]...)); len(got) != 0 {
+			t.Errorf("sends after the trial and all other connections broke = %v, want none", got)
+		}
+	})
+}
+
 // Upstreams that break connections and do not crash must not fail a search.
 func TestSearchContinuesAfterBrokenConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -25,6 +25,8 @@
 	done     bool
 	actions  []Action
 	doubt    doubt
+	// holding reports whether any leg may be held.
+	holding bool
 }
 
 // leg is the state of the request to one service.
@@ -127,7 +129,7 @@
 // startLeg sends the first attempt of a leg.
 func (f *Fanout) startLeg(i int, now time.Time) {
 	if !f.maySend() {
-		f.legs[i].held = true
+		f.hold(i)
 		return
 	}
 	u, ok := f.deps.Pick(f.plan.Services[i], nil)
@@ -211,7 +213,7 @@
 		return
 	}
 	if !f.maySend() {
-		l.held = true
+		f.hold(i)
 		return
 	}
 	u, ok := f.deps.Pick(f.plan.Services[i], l.tried)
