internal/relay: test that a peer keeps to the attempts of the call

What was seen: with the limit taken out of the node that gathers, no test failed: the shards of the tests have no more upstreams than attempts are allowed.

Change: TestPeerKeepsToTheAttemptsOfTheCall, which fails without it (5 runs of 2).

--- a/internal/relay/peergroup_test.go
+++ b/internal/relay/peergroup_test.go
@@ -211,3 +211,27 @@
 		}
 	}
 }
+
+// A node that gathers for another must send each leg to no more upstreams than the call
+// allows, although the shard has more.
+func TestPeerKeepsToTheAttemptsOfTheCall(t *testing.T) {
+	var ups []*fakeUpstream
+	var entries []fleet.Entry
+	for i := range 5 {
+		up := newFakeUpstream(t, fmt.Sprintf("up-%d", i))
+		up.setHandler(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+		ups, entries = append(ups, up), append(entries, up.entry("shard"))
+	}
+	e := newEngine(t, []*vhost.Route{gatherRoute([]string{"shard"}, 1)}, entries...)
+	call := &GatherCall{
+		ID: "g-1", Request: "r-1", Method: http.MethodGet, Host: "search", Target: "/", Services: []string{"shard"},
+		TopK: 5, MinLegs: 1, Attempts: 2, Hops: 1, Soft: time.Second, Deadline: 2 * time.Second,
+	}
+	var reply GatherReply
+	if err := e.Gatherer().Gather(call, &reply); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := totalRuns(ups), int64(2); got != want || len(reply.Reached) != 1 || reply.Reached[0] != 2 {
+		t.Errorf("runs = %d, reported %v, want %d", got, reply.Reached, want)
+	}
+}
