internal/relay: test that a search which a peer may have run is not rejected

What was seen: with the call to a peer not counted as a send, no test failed.

Change: TestSearchThatPeerMayHaveRunIsNotRejected, which fails without the count: the search is answered 503, although four upstreams of the peer ran it.

--- a/internal/relay/peergroup_test.go
+++ b/internal/relay/peergroup_test.go
@@ -235,3 +235,23 @@
 		t.Errorf("runs = %d, reported %v, want %d", got, reply.Reached, want)
 	}
 }
+
+// A search that a peer may have run must not be rejected as not run, although nothing of
+// it ran at this node's upstreams.
+func TestSearchThatPeerMayHaveRunIsNotRejected(t *testing.T) {
+	p := newNodePair(t, 0.5)
+	for _, up := range p.nearUps {
+		up.setHandler(notRun)
+	}
+	gathered := p.call
+	lost := func(ctx context.Context, addr, method string, args, reply any) error {
+		_ = gathered(ctx, addr, method, args, &GatherReply{})
+		time.Sleep(50 * time.Millisecond) // until this node's own legs have ended
+		return peer.ErrBroken
+	}
+	p.near.SetPeers(p.near.peers.Load().set, lost)
+	answer := p.near.Do(context.Background(), request("search", "r-1"))
+	if got := proto.Kind(answer); got != "unknown" || totalRuns(p.farUps) == 0 {
+		t.Errorf("answer = %s after %d runs at the peer, want unknown", got, totalRuns(p.farUps))
+	}
+}
