internal/relay: test that upstreams are given the time that is left

What was seen: with the time left taken out of the request to an upstream, or out of the call to a peer, no test failed.

Change: TestUpstreamsAreGivenTheTimeThatIsLeft, which fails in both cases.

--- a/internal/relay/peergroup_test.go
+++ b/internal/relay/peergroup_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sort"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -255,3 +256,19 @@
 		t.Errorf("answer = %s after %d runs at the peer, want unknown", got, totalRuns(p.farUps))
 	}
 }
+
+// An upstream must be given no more time than the caller has left, also through a peer.
+func TestUpstreamsAreGivenTheTimeThatIsLeft(t *testing.T) {
+	p := newNodePair(t, 1)
+	req := request("search", "r-1")
+	req.Remaining = 700 * time.Millisecond
+	if got := proto.Kind(p.near.Do(context.Background(), req)); got != "merged" {
+		t.Fatalf("answer = %s, want merged", got)
+	}
+	for _, up := range append(p.nearUps, p.farUps...) {
+		ms, err := strconv.Atoi(up.received[0].Header.Get("Left"))
+		if got, limit := time.Duration(ms)*time.Millisecond, req.Remaining; err != nil || got <= 0 || got > limit {
+			t.Errorf("%s was given %v (%v), want at most %v", up.id, got, err, limit)
+		}
+	}
+}
