soak: requests without a response are checked when all faults are on record

Trace: n1 was stopped as planned at 12.38 s and started again; its stop counts until 17.4 s. At 13.11 s it was killed. The request was refused then, and checked before the kill, which is recorded when it has happened, was on record.

Change: such requests are checked at the end of the run, with the same condition.

Evidence: TestKillAfterPlannedStopIsNoCutByTheStop, which fails before; the planted violation of a planned stop is still found.

--- a/soak/check.go
+++ b/soak/check.go
@@ -56,8 +56,11 @@
 	faults     map[string][]interval // by node; "" stands for all nodes
 	stops      map[string][]interval // planned stops by node
 	violations []string
-	attempts   int
-	successes  int
+	// cuts holds the attempts that failed without a response. They are checked at
+	// the end, because a fault is recorded only after it has begun.
+	cuts      []attempt
+	attempts  int
+	successes int
 }
 
 // interval is the time span of a fault or a planned stop.
@@ -119,7 +122,7 @@
 	r := a.reply
 	switch {
 	case r.Err != nil:
-		c.checkCut(a)
+		c.cuts = append(c.cuts, a)
 	case r.Status != 200:
 		c.checkRejected(a)
 	case a.host == hostSearch:
@@ -227,6 +230,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.checkCrashing(receivers)
+	for _, a := range c.cuts {
+		c.checkCut(a)
+	}
 	runs := make(map[string][]fakes.Run)
 	for _, r := range c.runLog.Runs("") {
 		runs[r.Request] = append(runs[r.Request], r)
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -51,10 +51,23 @@
 		checker := settledChecker(now)
 		checker.recordStop("n", now.Add(-time.Second), now.Add(time.Second))
 		checker.check(attempt{reply: tt.r, host: tt.host, node: "n", sentAt: now, doneAt: now.Add(10 * time.Millisecond)})
+		checker.finish(nil, nil, nil)
 		expectViolation(t, tt.name, checker, tt.want)
 	}
 }
 
+// A node is killed within the time that its planned stop may take. A request that fails
+// before the kill is recorded must not count as cut off by the stop.
+func TestKillAfterPlannedStopIsNoCutByTheStop(t *testing.T) {
+	now := time.Now()
+	checker := settledChecker(now)
+	checker.recordStop("n", now.Add(-time.Second), now.Add(4*time.Second))
+	checker.check(attempt{reply: fakes.Reply{Request: "soak-1", Err: errors.New("refused")}, host: hostSearch, node: "n", sentAt: now, doneAt: now.Add(time.Millisecond)})
+	checker.recordFault("n", now.Add(-5*time.Millisecond), now.Add(300*time.Millisecond))
+	checker.finish(nil, nil, nil)
+	expectViolation(t, "killed", checker, "")
+}
+
 // expectViolation fails the test unless a violation contains want. If want is empty,
 // it fails the test if there is any violation.
 func expectViolation(t *testing.T, name string, checker *checker, want string) {
