--- a/internal/relay/peergroup_test.go
+++ b/internal/relay/peergroup_test.go
@@ -245,7 +245,7 @@
 		up.setHandler(notRun)
 	}
 	gathered := p.call
-	lost := func(ctx context.Context, addr, method string, args, reply any) error {
+	lost := func(ctx context.Context, addr, method string, args, _ any) error {
 		_ = gathered(ctx, addr, method, args, &GatherReply{})
 		time.Sleep(50 * time.Millisecond) // until this node's own legs have ended
 		return peer.ErrBroken
