--- a/internal/mesh/share_test.go
+++ b/internal/mesh/share_test.go
@@ -16,7 +16,7 @@
 	return m, tracker
 }
 
-// awaitMembers waits until each node knows all others.
+// awaitMembers waits until each node lists all others as members.
 func awaitMembers(t *testing.T, nodes ...*Mesh) {
 	t.Helper()
 	eventually(t, "the nodes know each other", func() bool {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -131,7 +131,7 @@
 func (r *run) classifyReply(a *attempt, res *link.Response, err error, took time.Duration) (attemptDone, gate.Outcome) {
 	stats := a.upstream.stats
 	if errors.Is(err, memory.ErrExhausted) {
-		// This node lacks memory; that says nothing about the upstream.
+		// The cause is this node's lack of memory, not the upstream.
 		r.engine.metrics.exhausted.Inc()
 		return attemptDone{attempt: a, cause: "memory", err: err}, gate.OutcomeCanceled
 	}
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -14,8 +14,8 @@
 	"geraniumstep.org/geraniumstep/pkg/vhost"
 )
 
-// checkedTime is the time by which a node knows whether an upstream has crashed, and
-// after which another crash is another trial.
+// checkedTime is the time after which a crash of an upstream has been detected, and
+// another crash is another trial.
 const checkedTime = crashCheckDelay + 2*crashConfirmDelay + poison.TrialGap
 
 // crashOn makes the upstream crash when it runs a request with the path.
--- a/pkg/poison/report.go
+++ b/pkg/poison/report.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Kind is what a Report says of a fingerprint.
+// Kind is the kind of evidence in a Report.
 type Kind uint8
 
 // The kinds of reports.
