internal/fakes: a request does not release the slot of the next incarnation

Cause: a stand-in that restarts replaces its slots. A request of the old incarnation that ends after that released a slot of the new one, and took one from its count of running requests.

Change: a request releases the slots that it acquired, and changes only the counts of its own incarnation.

Evidence: the trace of the detector names the two accesses; the test passes with -race.

--- a/internal/fakes/upstream.go
+++ b/internal/fakes/upstream.go
@@ -191,10 +191,11 @@
 		refuse(w, http.StatusServiceUnavailable, reason)
 		return
 	}
-	if !u.acquireSlot(r.Context()) {
+	release, ok := u.acquireSlot(r.Context())
+	if !ok {
 		return
 	}
-	defer u.releaseSlot()
+	defer release()
 	if time.Now().After(req.Deadline) {
 		refuse(w, http.StatusConflict, wire.RefusalDeadline)
 		return
@@ -223,22 +224,33 @@
 	w.WriteHeader(status)
 }
 
-// acquireSlot waits for a slot. It reports false if the context ends first.
-func (u *Upstream) acquireSlot(ctx context.Context) bool {
-	u.set(func() { u.waiting++ })
-	defer u.set(func() { u.waiting-- })
+// acquireSlot waits for a slot and returns the function that releases it. It reports
+// false if the context ends first. A request that outlives its incarnation does not
+// change the counts of the next one.
+func (u *Upstream) acquireSlot(ctx context.Context) (release func(), ok bool) {
+	var slots chan struct{}
+	u.set(func() {
+		slots = u.slots
+		u.waiting++
+	})
+	count := func(change func()) {
+		u.set(func() {
+			if u.slots == slots {
+				change()
+			}
+		})
+	}
+	defer count(func() { u.waiting-- })
 	select {
-	case u.slots <- struct{}{}:
-		u.set(func() { u.running++ })
-		return true
+	case slots <- struct{}{}:
+		count(func() { u.running++ })
 	case <-ctx.Done():
-		return false
+		return nil, false
 	}
-}
-
-func (u *Upstream) releaseSlot() {
-	<-u.slots
-	u.set(func() { u.running-- })
+	return func() {
+		<-slots
+		count(func() { u.running-- })
+	}, true
 }
 
 // serve waits for the service time of the shard request and sends the reply.
