known: listed failures pass through the whole pipeline

What was seen: a run of the tests in which only a listed test failed, and in which the judge reported no red, still ended with 1.

Cause: under pipefail the status of "go test | known" is that of go test, which fails for listed tests too. The judge's tests call its function and never the pipeline.

The judge is red if no test has run.

--- a/internal/known/main.go
+++ b/internal/known/main.go
@@ -2,7 +2,7 @@
 // it as text, and fails unless every failure is a test that the list names and every
 // test of the list has run.
 //
-//	go test -json ./... | go run ./internal/known --list KNOWN-RED.txt
+//	internal/known/judge.sh target/known KNOWN-RED.txt ./...
 //
 // A line of the list names a test as "test: PACKAGE NAME", with the package relative to
 // the module. Panics, data races, timeouts and build failures are never passed over.
--- a/internal/known/result.go
+++ b/internal/known/result.go
@@ -77,6 +77,9 @@
 			red = append(red, fmt.Sprintf("%s %s failed", id.pkg, id.name))
 		}
 	}
+	if len(r.outcomes) == 0 {
+		red = append(red, "no test has run")
+	}
 	for id := range known {
 		if o := r.outcome(id); o != "pass" && o != "fail" {
 			red = append(red, fmt.Sprintf("%s %s is listed, but its outcome is: %s", id.pkg, id.name, o))
--- a/test.sh
+++ b/test.sh
@@ -15,7 +15,7 @@
 # The judge fails the run for every failure that KNOWN-RED.txt does not name.
 go build -o target/known ./internal/known
 status=0
-go test -json -race -count=1 -timeout 8m ./... | target/known --list KNOWN-RED.txt || status=$?
+internal/known/judge.sh target/known KNOWN-RED.txt -race -count=1 -timeout 8m ./... || status=$?
 if [ -s KNOWN-RED.txt ]; then
 	echo "known red:"
 	cat KNOWN-RED.txt
