relay: log how many crashes are on record against a request

When a request that crashes upstreams goes on being sent, the logs did not show whether its crashes had not been recognized, were known too late, or had been forgotten. The line "relay: request ended." now has crash_trials, if there are any.

No change of what is sent.

--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -44,5 +44,8 @@
 		fields["last_failure"] = r.lastCause
 		fields["fingerprint"] = formatFingerprint(r.fingerprint)
 	}
+	if trials := r.engine.tracker.Trials(r.fingerprint); trials > 0 {
+		fields["crash_trials"] = trials
+	}
 	r.engine.log.WithFields(fields).Info("relay: request ended.")
 }
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -143,6 +143,13 @@
 	return Novel
 }
 
+// Trials returns the number of trials of the fingerprint that ended in a crash and count
+// against it.
+func (t *Tracker) Trials(f Fingerprint) int {
+	trials, _ := t.count(f)
+	return trials
+}
+
 // count returns the number of trials of the fingerprint that ended in a crash, and
 // whether it was the only suspect of one of them.
 func (t *Tracker) count(f Fingerprint) (trials int, alone bool) {
