fanout: hedge a search once until a shard has answered

Cause: each leg decides alone. A search that no shard has answered may be crashing its upstreams, and the hedges then crash the others.

Change: until a shard has answered, one leg is hedged; the others follow at once after the first answer, so that a failure domain without upstreams still costs one hedge delay and one answer.

Evidence: TestSearchWithoutAnswerIsHedgedOnce fails without the change (8 hedges of 8 legs).

--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -10,6 +10,9 @@
 	// hedge, waits before the next try. It is short compared with any latency
 	// target in use.
 	retryInterval = 40 * time.Millisecond
+	// hedgeInterval is how often a hedge that waits for an answer to another leg is
+	// reconsidered.
+	hedgeInterval = 5 * time.Millisecond
 	// lateMargin is added to the expected latency of another upstream when the
 	// latest useful time for a hedge is computed.
 	lateMargin = 10 * time.Millisecond
@@ -25,8 +28,9 @@
 	done     bool
 	actions  []Action
 	doubt    doubt
-	// holding reports whether any leg may be held.
-	holding bool
+	// holding reports whether any leg may be held, and hedged whether a leg has been
+	// hedged.
+	holding, hedged bool
 }
 
 // leg is the state of the request to one service.
@@ -281,13 +285,25 @@
 	l := &f.legs[i]
 	service := f.plan.Services[i]
 	u, ok := f.deps.Pick(service, l.tried)
+	if ok && f.mustAwaitHedge() {
+		l.hedgeAt = now.Add(hedgeInterval)
+		return
+	}
 	if !ok || !f.maySend() || !f.spendHedge(service, u, l.hedgeReason) {
 		f.scheduleHedge(i, now.Add(retryInterval), now)
 		return
 	}
+	f.hedged = true
 	f.send(i, u, l.hedgeReason, now)
 }
 
+// mustAwaitHedge reports whether a search without any answer has been hedged already. If
+// it crashes the upstreams that run it, further hedges would reach the last replicas; if
+// not, an answer comes soon.
+func (f *Fanout) mustAwaitHedge() bool {
+	return f.hedged && len(f.legs) > 1 && f.answered == 0 && !f.doubt.resolved
+}
+
 // spendHedge takes a hedge from the budget. A hedge to an unreliable upstream may
 // be rejected, so it is always spent as speculative, which leaves the reserve to
 // retries.
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -105,6 +105,28 @@
 	})
 }
 
+// A search to which no shard has answered may be crashing its upstreams: it must not reach
+// the second one of each shard.
+func TestSearchWithoutAnswerIsHedgedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New(plan(8, 4), &fakeDeps{hedgeAfter: 30 * time.Millisecond, expected: 10 * time.Millisecond, budget: 8})
+		f.Step(Start{})
+		hedges := 0
+		for end := time.Now().Add(100 * time.Millisecond); time.Now().Before(end); {
+			time.Sleep(time.Until(f.Wake()))
+			hedges += len(sends(f.Step(Tick{})))
+		}
+		if want := 1; hedges != want {
+			t.Errorf("hedges before any answer = %d, want %d", hedges, want)
+		}
+		f.Step(Answered{Attempt: 0})
+		time.Sleep(hedgeInterval)
+		if got, want := len(sends(f.Step(Tick{}))), 7; got != want {
+			t.Errorf("hedges after an answer = %d, want %d", got, want)
+		}
+	})
+}
+
 func TestCompleteEndsAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := New(plan(2, 1), &fakeDeps{hedgeAfter: time.Second, expected: time.Millisecond})
