relay: recognize crashes of upstreams whose addresses do not refuse connections

What callers saw: a request that crashes each server which runs it went on reaching servers, and 41 to 45 % of the other callers were answered, when the address of an ended server was silent, reset connections, or belonged to a machine that was gone.

Cause: one thing counted as evidence of a crash, a refused connection 20 ms after a connection broke. Silence and resets counted for nothing, and an attempt that was never answered was not looked at. The class: one symptom is taken for the event, and its absence for proof of the opposite.

Change: pkg/crash concludes from all that is heard of an upstream. A probe is addressed to an id that no upstream has, so that each answers and none runs anything; a connection that is only accepted proves nothing any more. A refusal, or another instance at the address, proves a crash. If two probes fail, and nothing is heard for 600 ms while something else is, the crash is presumed. An attempt without any sign of life of its upstream for 1 s (0.3 s under suspicion) is checked in the same way. Presumption is weaker than proof: it takes three trials, suspects no request that has ever completed, and is withdrawn at all nodes when the upstream responds again. While two trials have no result, the request is held, and a send under suspicion is announced to all nodes.

The relay's stand-ins now answer a request addressed to another instance, as servers do.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -104,6 +104,7 @@
 		relay.WithMemory(int64(messageMemoryRatio*float64(settings.MemoryMB)*(1<<20))),
 		relay.WithCrashes(d.crashes, d.shareCrashes),
 		relay.WithQuarantined(d.saveQuarantine),
+		relay.WithReachable(d.heardSince),
 		relay.WithRegistry(d.registry),
 	)
 	d.engine.SetNodes(b.Nodes, b.Nodes)
@@ -142,6 +143,11 @@
 // shareCrashes sends reports of crashed upstreams to the other nodes.
 func (d *Daemon) shareCrashes(reports []poison.Report) { d.mesh.Share(reports) }
 
+// heardSince reports whether another node or the store has been heard of since the time.
+func (d *Daemon) heardSince(t time.Time) bool {
+	return d.mesh.HeardSince(t) || time.Since(t) > d.state.StoreAge()
+}
+
 // saveQuarantine saves a quarantine that this node has imposed.
 func (d *Daemon) saveQuarantine(f poison.Fingerprint) {
 	if d.keeper != nil {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -80,6 +80,9 @@
 	conns      map[net.Conn]bool
 
 	readsStore atomic.Bool
+	// heardAt is when the last datagram of another node arrived, in nanoseconds
+	// since 1970.
+	heardAt atomic.Int64
 	// readerSeen is when a heartbeat of an up-to-date reader was last
 	// available. Only Run uses it.
 	readerSeen time.Time
@@ -158,6 +161,9 @@
 // ReadsStore reports whether this node reads the platform's store.
 func (m *Mesh) ReadsStore() bool { return m.readsStore.Load() }
 
+// HeardSince reports whether a datagram of another node has arrived since the time.
+func (m *Mesh) HeardSince(t time.Time) bool { return time.Unix(0, m.heardAt.Load()).After(t) }
+
 // Call calls a method of the node at the address.
 func (m *Mesh) Call(ctx context.Context, addr, method string, args, reply any) error {
 	return m.peers.Call(ctx, addr, method, args, reply)
@@ -269,6 +275,7 @@
 		if err := msgpack.Unmarshal(buffer[:n], &d); err != nil {
 			continue // not a message of a node
 		}
+		m.heardAt.Store(time.Now().UnixNano())
 		if d.Message != nil {
 			m.step(member.Received{Message: *d.Message})
 		}
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -99,6 +99,8 @@
 	Proof string
 	// NotRun proves that the upstream did not run the request.
 	NotRun bool
+	// Upstream is the ID of the upstream that responded, or empty.
+	Upstream string
 	// Moved reports that another upstream uses the address.
 	Moved bool
 	// HasLoad reports whether Running and Waiting hold the upstream's load.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -12,6 +12,7 @@
 	"geraniumstep.org/geraniumstep/internal/link"
 	"geraniumstep.org/geraniumstep/internal/memory"
 	"geraniumstep.org/geraniumstep/internal/proto"
+	"geraniumstep.org/geraniumstep/pkg/crash"
 	"geraniumstep.org/geraniumstep/pkg/fanout"
 	"geraniumstep.org/geraniumstep/pkg/gate"
 )
@@ -102,7 +103,7 @@
 	if err != nil {
 		u.stats.Failed()
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			r.engine.connectionRefused(u)
+			r.engine.stepCrash(u, crash.DialRefused{})
 		}
 		return attemptDone{attempt: a, notRun: true, unsent: true, cause: "dial", err: err}, gate.OutcomeCanceled
 	}
@@ -111,12 +112,20 @@
 		return attemptDone{attempt: a, notRun: true, unsent: true, cause: "finished"}, gate.OutcomeCanceled
 	}
 	start := time.Now()
+	if r.cautious {
+		r.announceTrial(u)
+	}
+	silence := r.watchSilence(u, start)
 	res, wrote, err := c.Exchange(r.req, r.encode(u, start), r.engine.dialect)
+	silence.ended.Store(!wrote || err == nil || closedByUpstream(err))
 	if a.setConn(nil) {
 		u.pool.Release(c)
 	} else {
 		_ = c.Close()
 	}
+	if r.cautious && (!wrote || res != nil && res.Reply().NotRun) {
+		r.endTrial(u)
+	}
 	if !wrote {
 		r.permits.release()
 		u.stats.Failed()
@@ -138,18 +147,19 @@
 	if err != nil {
 		if a.isCanceled() {
 			stats.Abandoned(took)
-			s := r.newSuspect(took)
-			s.run.Canceled = true
-			a.upstream.crash.addCanceled(s)
+			s := r.newCrashRun(time.Now().Add(-took))
+			s.Canceled = true
+			r.engine.stepCrash(a.upstream, crash.Canceled{Run: s})
 			return attemptDone{attempt: a, cause: "given_up"}, gate.OutcomeCanceled
 		}
 		stats.Failed()
 		broken := closedByUpstream(err)
 		if broken {
-			r.engine.connectionBroke(a.upstream, r.newSuspect(took))
+			r.engine.stepCrash(a.upstream, crash.Broke{Run: r.newCrashRun(time.Now().Add(-took))})
 		}
 		return attemptDone{attempt: a, cause: "broken", broken: broken, err: err}, gate.OutcomeCanceled
 	}
+	r.engine.heardFrom(a.upstream)
 	if res.Reply().HasLoad {
 		stats.LoadReported(res.Reply().Running, res.Reply().Waiting)
 	}
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -5,101 +5,76 @@
 	"errors"
 	"fmt"
 	"io"
-	"slices"
+	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"geraniumstep.org/geraniumstep/internal/tasks"
+	"geraniumstep.org/geraniumstep/internal/link"
+	"geraniumstep.org/geraniumstep/internal/proto"
+	"geraniumstep.org/geraniumstep/pkg/crash"
 	"geraniumstep.org/geraniumstep/pkg/poison"
 )
 
-const (
-	// crashCheckDelay is the time between a broken connection and the check of its
-	// upstream. Other shards of a harmless search usually answer within it, and
-	// then no check is needed.
-	crashCheckDelay = 20 * time.Millisecond
-	// crashConfirmDelay is how long a new connection must stay open to show that
-	// the upstream lives: a process that is ending may still accept one.
-	crashConfirmDelay = 50 * time.Millisecond
-)
-
-// canceledRetention is how long after its cancellation an attempt remains a suspect. An
-// upstream may have begun to run it before it noticed the closed connection.
-const canceledRetention = 500 * time.Millisecond
+// probeTimeout bounds one probe of an upstream that may have crashed. It is longer than
+// the pauses of healthy upstreams.
+const probeTimeout = 500 * time.Millisecond
 
-// suspect is an attempt that was in flight when its connection broke.
-type suspect struct {
-	run     poison.Run
-	request string
-	brokeAt time.Time
-}
+// probeRecipient is the ID to which probes are addressed. No upstream has it, so that
+// each one answers without running anything.
+const probeRecipient = "none"
 
-// newSuspect returns the run's attempt whose connection broke after the given time.
-func (r *run) newSuspect(after time.Duration) suspect {
-	now := time.Now()
-	return suspect{run: poison.Run{Fingerprint: r.fingerprint, Sent: now.Add(-after)}, request: r.req.ID, brokeAt: now}
+// crashCheck runs the watch of one upstream. A goroutine executes its actions as long as
+// it has any due.
+type crashCheck struct {
+	mu      sync.Mutex
+	watch   *crash.Watch
+	running bool
+	// presumed holds the fingerprints of the requests under which the upstream is
+	// presumed to have crashed.
+	presumed []poison.Fingerprint
+	// wake is signaled when the watch has new events.
+	wake chan struct{}
 }
 
-// crashCheck collects the suspects of one upstream until it is known whether the
-// upstream has crashed.
-type crashCheck struct {
-	mu       sync.Mutex
-	suspects []suspect
-	// canceled holds attempts that this node canceled, the oldest first.
-	canceled []suspect
-	running  bool
+func (e *Engine) newCrashCheck(u *upstream) *crashCheck {
+	return &crashCheck{
+		watch: crash.New(e.hasSucceededSince, func(since time.Time) bool { return e.isConnected(u, since) }),
+		wake:  make(chan struct{}, 1),
+	}
 }
 
-// addCanceled records an attempt that was canceled after it had been sent.
-func (c *crashCheck) addCanceled(s suspect) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.dropExpired()
-	c.canceled = append(c.canceled, s)
+// newCrashRun returns the run's attempt that was sent at the given time.
+func (r *run) newCrashRun(sent time.Time) crash.Run {
+	return crash.Run{Fingerprint: r.fingerprint, Request: r.req.ID, Sent: sent, Ended: time.Now()}
 }
 
-// dropExpired must be called with mu held.
-func (c *crashCheck) dropExpired() {
-	for len(c.canceled) > 0 && time.Since(c.canceled[0].brokeAt) > canceledRetention {
-		c.canceled = c.canceled[1:]
-	}
+// hasSucceededSince reports whether an equal request has completed since the run was sent.
+func (e *Engine) hasSucceededSince(r crash.Run) bool {
+	return e.tracker.Succeeded(r.Fingerprint, r.Sent)
 }
 
-// startForCanceled reports whether attempts were canceled recently, in which case the
-// caller must start a check.
-func (c *crashCheck) startForCanceled() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.dropExpired()
-	if c.running || len(c.canceled) == 0 {
-		return false
-	}
-	c.running = true
-	return true
+// isConnected reports whether anything else than the upstream has been heard of since the
+// time, so that its silence is not this node's.
+func (e *Engine) isConnected(u *upstream, since time.Time) bool {
+	last := e.lastHeard.Load()
+	return last != nil && last.from != u && last.at.After(since) || e.reachable(since)
 }
 
-// add adds a suspect and reports whether the caller must start a check.
-func (c *crashCheck) add(s suspect) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.suspects = append(c.suspects, s)
-	start := !c.running
-	c.running = true
-	return start
+// heard is a response of an upstream.
+type heard struct {
+	from *upstream
+	at   time.Time
 }
 
-// take returns the suspects and ends the check if there are none.
-func (c *crashCheck) take() []suspect {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.dropExpired()
-	list := append(c.suspects, c.canceled...)
-	c.suspects, c.canceled = nil, nil
-	c.running = len(list) > 0
-	return list
+// heardFrom records that the upstream has responded.
+func (e *Engine) heardFrom(u *upstream) {
+	now := time.Now()
+	u.crash.watch.Heard(now)
+	e.lastHeard.Store(&heard{from: u, at: now})
 }
 
 // closedByUpstream reports whether the upstream closed or reset the connection, as
@@ -113,80 +88,161 @@
 	return false
 }
 
-// connectionBroke records that the upstream closed the connection of an attempt
-// without a response, and checks whether it has crashed.
-func (e *Engine) connectionBroke(u *upstream, s suspect) {
-	if u.crash.add(s) {
-		e.startCrashCheck(u)
+// silence reports an attempt as unanswered if neither it nor anything else sent to its
+// upstream has had a response for the limit.
+type silence struct {
+	engine *Engine
+	run    *run
+	u      *upstream
+	sent   time.Time
+	limit  time.Duration
+	ended  atomic.Bool
+}
+
+// watchSilence watches an attempt that has just been sent. The caller must set ended when
+// there is a response, or the connection has broken.
+func (r *run) watchSilence(u *upstream, sent time.Time) *silence {
+	s := &silence{engine: r.engine, run: r, u: u, sent: sent, limit: crash.SilentAfter}
+	if r.cautious {
+		s.limit = crash.SuspectSilentAfter
 	}
+	time.AfterFunc(s.limit, s.check)
+	return s
 }
 
-// connectionRefused checks whether the upstream has crashed under an attempt that this
-// node canceled.
-func (e *Engine) connectionRefused(u *upstream) {
-	if u.crash.startForCanceled() {
-		e.startCrashCheck(u)
+func (s *silence) check() {
+	if s.ended.Load() || s.engine.baseCtx.Err() != nil {
+		return
+	}
+	now := time.Now()
+	if due := s.u.crash.watch.SilentSince(s.sent).Add(s.limit); now.Before(due) {
+		if now.Before(s.run.plan.Deadline.Add(crash.SilentAfter)) {
+			time.AfterFunc(due.Sub(now), s.check)
+		}
+		return
 	}
+	run := s.run.newCrashRun(s.sent)
+	run.Ended = s.u.crash.watch.SilentSince(s.sent)
+	s.engine.stepCrash(s.u, crash.Unanswered{Run: run})
 }
 
-func (e *Engine) startCrashCheck(u *upstream) {
-	e.tasks.Go(func() {
-		for tasks.Sleep(e.baseCtx, crashCheckDelay) {
-			suspects := u.crash.take()
-			if len(suspects) == 0 {
-				return
-			}
-			suspects = slices.DeleteFunc(suspects, e.hasSucceededSince)
-			if len(suspects) > 0 {
-				e.checkCrash(u, suspects)
-			}
+// stepCrash passes an event to the watch of the upstream, and has its actions executed.
+func (e *Engine) stepCrash(u *upstream, ev crash.Event) {
+	c := u.crash
+	c.mu.Lock()
+	c.watch.Step(ev)
+	_, due := c.watch.Wake()
+	start := due && !c.running
+	c.running = c.running || start
+	c.mu.Unlock()
+	if start {
+		e.tasks.Go(func() { e.runCrashCheck(u) })
+		return
+	}
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// runCrashCheck executes the actions of the watch until none is due.
+func (e *Engine) runCrashCheck(u *upstream) {
+	for {
+		at, ok := e.crashWake(u)
+		if !ok {
+			return
+		}
+		select {
+		case <-time.After(time.Until(at)):
+		case <-u.crash.wake:
+		case <-e.baseCtx.Done():
+			return
 		}
-	})
+		if e.stepInCheck(u, crash.Tick{}) {
+			e.stepInCheck(u, crash.Probed{Result: e.probe(u)})
+		}
+	}
 }
 
-// hasSucceededSince reports whether an equal request has completed since the suspect was
-// sent.
-func (e *Engine) hasSucceededSince(s suspect) bool {
-	return e.tracker.Succeeded(s.run.Fingerprint, s.run.Sent)
+// stepInCheck passes a Tick or a result to the watch and applies what follows. It reports
+// whether a probe must be made.
+func (e *Engine) stepInCheck(u *upstream, ev crash.Event) (probe bool) {
+	u.crash.mu.Lock()
+	actions := u.crash.watch.Step(ev)
+	u.crash.mu.Unlock()
+	for _, a := range actions {
+		e.applyCrashAction(u, a)
+		_, isProbe := a.(crash.Probe)
+		probe = probe || isProbe
+	}
+	return probe
 }
 
-// checkCrash connects to the upstream to find out whether it still listens, and
-// reports a crash with the requests that may have caused it.
-func (e *Engine) checkCrash(u *upstream, suspects []suspect) {
-	err := u.probe(e.baseCtx)
-	crashed := errors.Is(err, syscall.ECONNREFUSED)
-	outcome := "alive"
-	switch {
-	case crashed:
-		outcome = "crashed"
-	case err != nil:
-		outcome = "unreachable"
+// crashWake returns when the next action of the watch is due, or ends the check.
+func (e *Engine) crashWake(u *upstream) (time.Time, bool) {
+	u.crash.mu.Lock()
+	defer u.crash.mu.Unlock()
+	at, ok := u.crash.watch.Wake()
+	u.crash.running = ok
+	return at, ok
+}
+
+// applyCrashAction records what the watch has found out of an upstream.
+func (e *Engine) applyCrashAction(u *upstream, a crash.Action) {
+	id := u.incarnation()
+	switch a := a.(type) {
+	case crash.Probe:
+	case crash.Doubted:
+		e.logCrash(u, a.Runs, "doubted")
+		e.share(e.tracker.RecordDoubt(id, earliestEnd(a.Runs), poisonRuns(a.Runs)))
+	case crash.Cleared:
+		e.logCrash(u, a.Runs, "alive")
+		e.share(e.tracker.EndDoubt(id, fingerprints(a.Runs)))
+	case crash.Ended:
+		at, runs := earliestEnd(a.Runs), poisonRuns(a.Runs)
+		if a.Presumed {
+			e.logCrash(u, a.Runs, "presumed_crashed")
+			u.crash.presumed = fingerprints(a.Runs)
+			e.recordCrash(u, e.tracker.RecordPresumedCrash(id, at, runs))
+			return
+		}
+		e.logCrash(u, a.Runs, "crashed")
+		e.recordCrash(u, e.tracker.RecordCrash(id, at, runs))
+	case crash.Withdrawn:
+		e.log.WithFields(logrus.Fields{"upstream": u.entry.ID(), "service": u.entry.Service()}).
+			Info("relay: upstream that was presumed to have crashed has responded.")
+		e.share(e.tracker.Withdraw(id, u.crash.presumed))
+		u.crash.presumed = nil
 	}
-	e.metrics.broken.WithLabelValues(outcome).Add(float64(len(suspects)))
+}
+
+// announceTrial reports to all nodes that a request which is suspected of crashing
+// upstreams is being sent to one, so that no other node tries it meanwhile.
+func (r *run) announceTrial(u *upstream) {
+	now := time.Now()
+	r.engine.share(r.engine.tracker.RecordDoubt(u.incarnation(), now, []poison.Run{{Fingerprint: r.fingerprint, Sent: now}}))
+}
+
+// endTrial reports that the upstream has not run the request.
+func (r *run) endTrial(u *upstream) {
+	r.engine.share(r.engine.tracker.EndDoubt(u.incarnation(), []poison.Fingerprint{r.fingerprint}))
+}
+
+// logCrash logs what is known of the upstream of requests without a response.
+func (e *Engine) logCrash(u *upstream, runs []crash.Run, outcome string) {
+	e.metrics.broken.WithLabelValues(outcome).Add(float64(len(runs)))
 	fields := logrus.Fields{"upstream": u.entry.ID(), "service": u.entry.Service(), "outcome": outcome}
-	for _, s := range suspects {
+	for _, s := range runs {
 		e.log.WithFields(fields).WithFields(logrus.Fields{
-			"request": s.request, "fingerprint": formatFingerprint(s.run.Fingerprint), "in_flight": len(suspects),
-			"ran_ms": s.brokeAt.Sub(s.run.Sent).Milliseconds(),
-		}).Info("relay: upstream closed the connection of a request without a response.")
-	}
-	if crashed {
-		e.recordCrash(u, suspects)
+			"request": s.Request, "fingerprint": formatFingerprint(s.Fingerprint), "in_flight": len(runs),
+			"ran_ms": s.Ended.Sub(s.Sent).Milliseconds(), "canceled": s.Canceled,
+		}).Info("relay: upstream has not responded to a request.")
 	}
 }
 
-// recordCrash reports a crash of the upstream to this node's tracker and to the other
-// nodes.
-func (e *Engine) recordCrash(u *upstream, suspects []suspect) {
-	var inFlight []poison.Run
-	at := suspects[0].brokeAt
-	for _, s := range suspects {
-		inFlight = append(inFlight, s.run)
-		if s.brokeAt.Before(at) {
-			at = s.brokeAt
-		}
-	}
-	reports := e.tracker.RecordCrash(u.incarnation(), at, inFlight)
+// recordCrash logs the quarantines that follow from new reports, and sends the reports to
+// the other nodes.
+func (e *Engine) recordCrash(u *upstream, reports []poison.Report) {
 	for _, r := range reports {
 		if v := e.tracker.Verdict(r.Fingerprint); v == poison.Quarantined {
 			e.log.WithFields(logrus.Fields{
@@ -199,21 +255,64 @@
 	e.share(reports)
 }
 
-// probe opens a connection to the upstream and returns an error if that fails or the
-// connection does not stay open. The connection is then available to requests.
-func (u *upstream) probe(ctx context.Context) error {
+func earliestEnd(runs []crash.Run) time.Time {
+	at := runs[0].Ended
+	for _, r := range runs {
+		if r.Ended.Before(at) {
+			at = r.Ended
+		}
+	}
+	return at
+}
+
+func poisonRuns(runs []crash.Run) []poison.Run {
+	list := make([]poison.Run, len(runs))
+	for i, r := range runs {
+		list[i] = poison.Run{Fingerprint: r.Fingerprint, Sent: r.Sent, Canceled: r.Canceled}
+	}
+	return list
+}
+
+func fingerprints(runs []crash.Run) []poison.Fingerprint {
+	list := make([]poison.Fingerprint, len(runs))
+	for i, r := range runs {
+		list[i] = r.Fingerprint
+	}
+	return list
+}
+
+// probe finds out on a new connection whether the upstream's process still responds. The
+// connection is then available to requests.
+func (e *Engine) probe(u *upstream) crash.Result {
+	ctx, cancel := context.WithTimeout(e.baseCtx, probeTimeout)
+	defer cancel()
 	c, err := u.pool.Open(ctx)
-	if err != nil {
-		return err
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return crash.Refused
+	case err != nil && closedByUpstream(err):
+		return crash.Closed
+	case err != nil:
+		return crash.Silent
 	}
-	if tasks.Sleep(ctx, crashConfirmDelay) && !c.Healthy() {
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	header := make(http.Header, 2)
+	e.dialect.WriteCall(header, proto.Call{Upstream: probeRecipient, Remaining: probeTimeout})
+	req := &proto.Request{Method: http.MethodGet, Target: "/", Host: u.entry.Addr()}
+	res, _, err := c.Exchange(req, link.EncodeRequest(link.EncodeHead(req, nil), header, nil), e.dialect)
+	if err != nil {
 		_ = c.Close()
-		if c, err = u.pool.Open(ctx); err != nil {
-			return err
+		if closedByUpstream(err) {
+			return crash.Closed
 		}
+		return crash.Silent
 	}
 	u.pool.Release(c)
-	return nil
+	if id := res.Reply().Upstream; id != "" && id != u.entry.ID() {
+		return crash.Replaced
+	}
+	return crash.Responded
 }
 
 func formatFingerprint(f poison.Fingerprint) string { return fmt.Sprintf("%016x", uint64(f)) }
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -16,7 +16,7 @@
 
 // checkedTime is the time after which a crash of an upstream has been detected, and
 // another crash is another trial.
-const checkedTime = crashCheckDelay + 2*crashConfirmDelay + poison.TrialGap
+const checkedTime = 120*time.Millisecond + poison.TrialGap
 
 // crashOn makes the upstream crash when it runs a request with the path.
 func (s *fakeUpstream) crashOn(path string) {
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -25,6 +25,7 @@
 	"geraniumstep.org/geraniumstep/internal/memory"
 	"geraniumstep.org/geraniumstep/internal/proto"
 	"geraniumstep.org/geraniumstep/internal/tasks"
+	"geraniumstep.org/geraniumstep/pkg/crash"
 	"geraniumstep.org/geraniumstep/pkg/fleet"
 	"geraniumstep.org/geraniumstep/pkg/gate"
 	"geraniumstep.org/geraniumstep/pkg/place"
@@ -55,8 +56,12 @@
 	share func([]poison.Report)
 	// quarantined is called when this node quarantines a request.
 	quarantined func(poison.Fingerprint)
-	metrics     *metrics
-	tickets     atomic.Uint64
+	// reachable reports whether anything but upstreams has been heard of since a time.
+	reachable func(since time.Time) bool
+	// lastHeard is the last response of any upstream, or nil.
+	lastHeard atomic.Pointer[heard]
+	metrics   *metrics
+	tickets   atomic.Uint64
 
 	peers         atomic.Pointer[peers]
 	gatherCancels sync.Map // maps the ID of a gather for another node to its cancel function
@@ -112,6 +117,11 @@
 	return func(e *Engine) { e.quarantined = f }
 }
 
+// WithReachable sets a function that reports whether this node has heard of other nodes or
+// of the store since a time. Without that, and without a response of any other upstream,
+// no crash is presumed. By default it has not.
+func WithReachable(f func(since time.Time) bool) Option { return func(e *Engine) { e.reachable = f } }
+
 // defaultLead is short compared with any target in use. A crash in the failure domain
 // shows within it.
 const defaultLead = 2 * time.Millisecond
@@ -143,6 +153,7 @@
 		dialect: d, log: logrus.NewEntry(logrus.StandardLogger()), dial: link.Dial,
 		budget: retry.New(), shardBudget: retry.New(), splitter: split.New(), metrics: newMetrics(),
 		lead: defaultLead, memory: memory.New(defaultMemoryBytes), tracker: poison.New(), share: func([]poison.Report) {}, quarantined: func(poison.Fingerprint) {},
+		reachable: func(time.Time) bool { return false },
 	}
 	e.nodes.Store(1)
 	e.gatherers.Store(1)
@@ -232,8 +243,9 @@
 	}
 	e.upstreams.Store(next)
 	for id, u := range old.byID {
-		if next.byID[id] != u {
+		if now := next.byID[id]; now != u {
 			u.pool.Close()
+			e.stepCrash(u, crash.Left{Restarted: now != nil && now.entry.Started() != u.entry.Started()})
 		}
 	}
 }
@@ -277,6 +289,7 @@
 		pool:  link.NewPool(entry.Addr(), e.dial),
 	}
 	u.slots.Store(int64(slots))
+	u.crash = e.newCrashCheck(u)
 	return u
 }
 
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -33,7 +33,7 @@
 		failures: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "geraniumstep_relay_failures_total", Help: "Failed attempts by cause."}, []string{"cause"}),
 		broken: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "geraniumstep_relay_broken_total", Help: "Attempts whose connection the upstream closed without a response, by the state of the upstream after that."}, []string{"state"}),
+			Name: "geraniumstep_relay_broken_total", Help: "Attempts without a response, by what was found out about the upstream."}, []string{"state"}),
 		exhausted: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "geraniumstep_relay_memory_exhausted_total", Help: "Bodies of callers and responses of upstreams that were not read, because others hold all memory set aside for them."}),
 		quarantined: prometheus.NewCounter(prometheus.CounterOpts{
--- a/internal/relay/model_test.go
+++ b/internal/relay/model_test.go
@@ -248,6 +248,10 @@
 	if err != nil {
 		return false
 	}
+	if req.Header.Get("For") != id {
+		_, err := io.WriteString(c, "HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	}
 	request := req.Header.Get("Id")
 	m.mu.Lock()
 	s := m.script.upstream[m.next%len(m.script.upstream)]
--- a/internal/relay/screen.go
+++ b/internal/relay/screen.go
@@ -27,7 +27,12 @@
 // request has ended.
 func (r *run) screen() (rejected *proto.Refused, release func()) {
 	t := r.engine.tracker
-	switch t.Verdict(r.fingerprint) {
+	verdict := t.Verdict(r.fingerprint)
+	if verdict != poison.Quarantined && t.Held(r.fingerprint) {
+		r.verdict = "held"
+		return &proto.Refused{Reason: "equal requests may have crashed upstreams; the result is awaited", RetryAfter: suspectRetryAfter}, nil
+	}
+	switch verdict {
 	case poison.Quarantined:
 		t.RecordRejection(r.fingerprint)
 		r.verdict = poison.Quarantined.String()
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -18,7 +18,7 @@
 	gate  *gate.Shared
 	slots atomic.Int64
 	pool  *link.Pool
-	crash crashCheck
+	crash *crashCheck
 }
 
 // incarnation identifies the upstream's process.
--- a/internal/relay/upstream_test.go
+++ b/internal/relay/upstream_test.go
@@ -74,6 +74,10 @@
 }
 
 func (s *fakeUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if to := r.Header.Get("For"); to != "" && to != s.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	body, _ := io.ReadAll(r.Body)
 	s.mu.Lock()
 	serve := s.handler
--- a/pkg/poison/enums_string.go
+++ b/pkg/poison/enums_string.go
@@ -32,11 +32,13 @@
 	_ = x[Crashed-0]
 	_ = x[Cleared-1]
 	_ = x[Rejected-2]
+	_ = x[Doubted-3]
+	_ = x[Withdrawn-4]
 }
 
-const _Kind_name = "crashedclearedrejected"
+const _Kind_name = "crashedclearedrejecteddoubtedwithdrawn"
 
-var _Kind_index = [...]uint8{0, 7, 14, 22}
+var _Kind_index = [...]uint8{0, 7, 14, 22, 29, 38}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -65,6 +65,8 @@
 }
 
 const (
+	// heldInterval is how often a request that is held asks whether it still is.
+	heldInterval     = 50 * time.Millisecond
 	defaultRetention = 10 * time.Minute
 	// maxQuarantine bounds a quarantine that repeated requests prolong. It counts
 	// from the last crash.
@@ -160,17 +162,24 @@
 	if !ok || r.expired(time.Now(), t.retention) {
 		return 0, false
 	}
-	return r.count(func(crash string) bool {
-		s, known := t.crashes.Peek(crash)
-		return known && s.first == f && !s.several
+	return r.count(func(tr trial) bool {
+		s, known := t.crashes.Peek(tr.crash)
+		return known && !tr.presumed && s.first == f && !s.several
 	})
 }
 
 // NextTrial returns the time from which another crash of the fingerprint would be another
-// trial. It is in the past if none is on record.
+// trial. It is in the past if none is on record. While the fingerprint is held, it is a
+// time at which to ask again.
 func (t *Tracker) NextTrial(f Fingerprint) time.Time {
 	r, ok := t.records.Peek(f)
-	if !ok || len(r.trials) == 0 {
+	if !ok {
+		return time.Time{}
+	}
+	if now := time.Now(); r.held(now) {
+		return now.Add(heldInterval)
+	}
+	if len(r.trials) == 0 {
 		return time.Time{}
 	}
 	return r.trials[len(r.trials)-1].ended.Add(TrialGap)
@@ -187,14 +196,60 @@
 // returns the reports that other nodes should merge. Proven fingerprints are excluded, unless they ran
 // alone. The crash is identified by the upstream and the start time of its process.
 func (t *Tracker) RecordCrash(crash string, at time.Time, inFlight []Run) []Report {
+	return t.record(Report{Kind: Crashed, Crash: crash}, at, inFlight)
+}
+
+// RecordPresumedCrash is RecordCrash for an upstream that was only found unreachable. It
+// takes three such trials to quarantine a fingerprint, and a proven one is not suspected.
+func (t *Tracker) RecordPresumedCrash(crash string, at time.Time, inFlight []Run) []Report {
+	return t.record(Report{Kind: Crashed, Crash: crash, Presumed: true}, at, inFlight)
+}
+
+// RecordDoubt records that an upstream may have crashed. RecordCrash,
+// RecordPresumedCrash, EndDoubt or Withdraw resolve the doubt.
+func (t *Tracker) RecordDoubt(crash string, at time.Time, inFlight []Run) []Report {
+	return t.record(Report{Kind: Doubted, Crash: crash, Presumed: true}, at, inFlight)
+}
+
+// EndDoubt records that the doubt whether an upstream has crashed under the requests is
+// resolved: it has not, or it did not run them.
+func (t *Tracker) EndDoubt(crash string, fingerprints []Fingerprint) []Report {
+	return t.mergeEach(Report{Kind: Withdrawn, Crash: crash}, fingerprints)
+}
+
+// Withdraw records that an upstream whose crash was presumed has not crashed.
+func (t *Tracker) Withdraw(crash string, fingerprints []Fingerprint) []Report {
+	return t.mergeEach(Report{Kind: Withdrawn, Crash: crash, Presumed: true}, fingerprints)
+}
+
+// mergeEach merges a report for each fingerprint, which the template completes.
+func (t *Tracker) mergeEach(template Report, fingerprints []Fingerprint) []Report {
+	var reports []Report
+	for _, f := range fingerprints {
+		template.Fingerprint = f
+		reports = append(reports, template)
+	}
+	return t.Merge(reports)
+}
+
+// Held reports whether the fingerprint must wait until it is known whether upstreams have
+// crashed under it.
+func (t *Tracker) Held(f Fingerprint) bool {
+	r, ok := t.records.Peek(f)
+	return ok && len(r.doubted) > 0 && r.held(time.Now())
+}
+
+// record merges a report for each run, which the template completes.
+func (t *Tracker) record(template Report, at time.Time, inFlight []Run) []Report {
 	now := time.Now()
-	age := max(now.Sub(at), 0)
+	template.Age = max(now.Sub(at), 0)
 	var reports []Report
 	for _, run := range inFlight {
-		if len(inFlight) > 1 && t.proven.Contains(run.Fingerprint) {
+		if (len(inFlight) > 1 || template.Presumed) && t.proven.Contains(run.Fingerprint) {
 			continue
 		}
-		r := Report{Kind: Crashed, Fingerprint: run.Fingerprint, Crash: crash, Age: age, Canceled: run.Canceled, Separate: run.Sent.IsZero()}
+		r := template
+		r.Fingerprint, r.Canceled, r.Separate = run.Fingerprint, run.Canceled, run.Sent.IsZero()
 		if !run.Sent.IsZero() {
 			r.Ran = max(at.Sub(run.Sent), 0)
 		}
@@ -220,7 +275,7 @@
 	}
 	t.proven.Add(f, now)
 	r, ok := t.records.Peek(f)
-	if !ok || len(r.trials) == 0 {
+	if !ok || len(r.trials)+len(r.doubted) == 0 {
 		return nil
 	}
 	t.records.Add(f, record{clearedAt: now})
--- a/pkg/poison/record.go
+++ b/pkg/poison/record.go
@@ -26,12 +26,20 @@
 	rejectionInterval = 5 * time.Second
 	// maxTrials bounds the crashes kept for each fingerprint.
 	maxTrials = 32
+	// doubtTime is how long a trial without a result counts. It is longer than the
+	// check of an upstream usually takes.
+	doubtTime = 3 * time.Second
+	// heldTrials is the number of trials, with and without a result, from which a
+	// request is held until those without have one.
+	heldTrials = 2
 )
 
 // record holds what is known against one fingerprint. It is immutable.
 type record struct {
-	// trials is sorted by the time of the crash.
-	trials []trial
+	// trials is sorted by the time of the crash. doubted holds the trials without a
+	// result, the oldest first.
+	trials  []trial
+	doubted []trial
 	// rejectedAt is when a request was last rejected. clearedAt is when one last
 	// completed while under suspicion.
 	rejectedAt time.Time
@@ -47,6 +55,10 @@
 	// trial of its own whenever it was sent.
 	canceled bool
 	separate bool
+	// presumed reports that the upstream was only unreachable after the send, and
+	// withdrawn that it has responded since.
+	presumed  bool
+	withdrawn bool
 }
 
 // suspects holds who may have caused one crash, without canceled requests.
@@ -59,8 +71,17 @@
 // crashed returns the record with the trial added, or false if it is known already or
 // began before the last success.
 func (r record) crashed(t trial) (record, bool) {
-	known := slices.ContainsFunc(r.trials, func(k trial) bool { return k.crash == t.crash })
-	if known || len(r.trials) >= maxTrials || !t.sent.After(r.clearedAt.Add(clockTolerance)) {
+	if !t.sent.After(r.clearedAt.Add(clockTolerance)) {
+		return r, false
+	}
+	r = r.resolved(t.crash)
+	if i := slices.IndexFunc(r.trials, t.sameCrash); i >= 0 {
+		if t.presumed || !r.trials[i].presumed {
+			return r, false
+		}
+		r.trials = slices.Delete(slices.Clone(r.trials), i, i+1)
+	}
+	if len(r.trials) >= maxTrials {
 		return r, false
 	}
 	r.trials = append(slices.Clone(r.trials), t)
@@ -68,14 +89,65 @@
 	return r, true
 }
 
+// sameCrash reports whether both trials ended in the same crash.
+func (t trial) sameCrash(other trial) bool { return t.crash == other.crash }
+
+// doubt returns the record with a trial added that has no result yet, or false if it is
+// known already or began before the last success.
+func (r record) doubt(t trial) (record, bool) {
+	known := slices.ContainsFunc(r.trials, t.sameCrash) || slices.ContainsFunc(r.doubted, t.sameCrash)
+	if known || len(r.doubted) >= maxTrials || !t.sent.After(r.clearedAt.Add(clockTolerance)) {
+		return r, false
+	}
+	r.doubted = append(slices.Clone(r.doubted), t)
+	return r, true
+}
+
+// withdraw returns the record without the doubt whether the upstream has crashed and, if
+// the trial is presumed, without the presumption that it has. It returns false if there
+// was neither.
+func (r record) withdraw(t trial) (record, bool) {
+	doubted := len(r.doubted)
+	r = r.resolved(t.crash)
+	i := slices.IndexFunc(r.trials, t.sameCrash)
+	if i < 0 || !t.presumed || !r.trials[i].presumed || r.trials[i].withdrawn {
+		return r, len(r.doubted) != doubted
+	}
+	r.trials = slices.Clone(r.trials)
+	r.trials[i].withdrawn = true
+	return r, true
+}
+
+// resolved returns the record without the trial that had no result.
+func (r record) resolved(crash string) record {
+	r.doubted = slices.DeleteFunc(slices.Clone(r.doubted), func(t trial) bool { return t.crash == crash })
+	return r
+}
+
+// held reports whether the request must wait for the results of its trials.
+func (r record) held(now time.Time) bool {
+	open := 0
+	for _, t := range r.doubted {
+		if now.Sub(t.ended) < doubtTime {
+			open++
+		}
+	}
+	if open == 0 {
+		return false
+	}
+	trials, _ := r.count(func(trial) bool { return false })
+	return open+trials >= heldTrials
+}
+
 // cleared returns the record without the trials that began before the success, or
 // false if the success adds nothing to the last one.
 func (r record) cleared(at time.Time) (record, bool) {
 	trials := slices.DeleteFunc(slices.Clone(r.trials), func(t trial) bool { return !t.sent.After(at) })
-	if len(trials) == len(r.trials) && !at.After(r.clearedAt.Add(clockTolerance)) {
+	doubted := slices.DeleteFunc(slices.Clone(r.doubted), func(t trial) bool { return !t.sent.After(at) })
+	if len(trials) == len(r.trials) && len(doubted) == len(r.doubted) && !at.After(r.clearedAt.Add(clockTolerance)) {
 		return r, false
 	}
-	r.trials = trials
+	r.trials, r.doubted = trials, doubted
 	if at.After(r.clearedAt) {
 		r.clearedAt = at
 	}
@@ -94,14 +166,17 @@
 
 // count returns the number of consecutive trials, and whether any of them was alone.
 // Those that were not sent TrialGap after the crash of another count once.
-func (r record) count(alone func(crash string) bool) (trials int, anyAlone bool) {
+func (r record) count(alone func(t trial) bool) (trials int, anyAlone bool) {
 	var end time.Time
 	for _, t := range r.trials {
+		if t.withdrawn {
+			continue
+		}
 		if trials == 0 || t.separate || !t.sent.Before(end.Add(TrialGap)) {
 			trials++
 			end = t.ended
 		}
-		anyAlone = anyAlone || alone(t.crash)
+		anyAlone = anyAlone || alone(t)
 	}
 	return trials, anyAlone
 }
@@ -119,6 +194,9 @@
 	if latest := crashed.Add(max(maxQuarantine, retention)); end.After(latest) {
 		end = latest
 	}
+	if n := len(r.doubted); n > 0 && r.doubted[n-1].ended.Add(doubtTime).After(end) {
+		end = r.doubted[n-1].ended.Add(doubtTime)
+	}
 	return end
 }
 
--- a/pkg/poison/report.go
+++ b/pkg/poison/report.go
@@ -13,11 +13,17 @@
 	Crashed  Kind = iota // crashed
 	Cleared              // cleared
 	Rejected             // rejected
+	// Doubted reports a trial without a result: the upstream may have crashed.
+	Doubted // doubted
+	// Withdrawn reports that such a trial has a result other than a crash, and, if
+	// Presumed is set, that an upstream whose crash was presumed has responded.
+	Withdrawn // withdrawn
 )
 
 // Report is evidence about one fingerprint that nodes exchange: it was in flight in
-// one crash, it completed while under suspicion, or it was rejected. Times are given
-// as ages, because the clocks of nodes differ.
+// one crash, it completed while under suspicion, it was rejected, or the upstream that it
+// was sent to may have crashed or has not. Times are given as ages, because the clocks of
+// nodes differ.
 type Report struct {
 	Kind        Kind        `msgpack:"k"`
 	Fingerprint Fingerprint `msgpack:"f"`
@@ -32,6 +38,9 @@
 	Separate bool `msgpack:"s,omitempty"`
 	// Canceled reports that the request was canceled before the crash.
 	Canceled bool `msgpack:"x,omitempty"`
+	// Presumed reports that the upstream was only found unreachable. A cut or a
+	// pause look the same.
+	Presumed bool `msgpack:"p,omitempty"`
 }
 
 // Merge adds reports and returns those that were not known. Reports from other nodes
@@ -86,12 +95,17 @@
 // with returns the record with the report added, or false if it adds nothing.
 func (r record) with(report Report, now time.Time) (record, bool) {
 	at := now.Add(-max(report.Age, 0))
+	t := trial{
+		crash: report.Crash, sent: at.Add(-max(report.Ran, 0)), ended: at,
+		canceled: report.Canceled, separate: report.Separate, presumed: report.Presumed,
+	}
 	switch report.Kind {
 	case Crashed:
-		return r.crashed(trial{
-			crash: report.Crash, sent: at.Add(-max(report.Ran, 0)), ended: at,
-			canceled: report.Canceled, separate: report.Separate,
-		})
+		return r.crashed(t)
+	case Doubted:
+		return r.doubt(t)
+	case Withdrawn:
+		return r.withdraw(t)
 	case Cleared:
 		return r.cleared(at)
 	case Rejected:
@@ -133,7 +147,10 @@
 		list = append(list, Report{Kind: Cleared, Fingerprint: f, Age: now.Sub(r.clearedAt)})
 	}
 	for _, tr := range r.trials {
-		list = append(list, Report{Kind: Crashed, Fingerprint: f, Crash: tr.crash, Age: now.Sub(tr.ended), Ran: tr.ended.Sub(tr.sent), Canceled: tr.canceled, Separate: tr.separate})
+		list = append(list, Report{Kind: Crashed, Fingerprint: f, Crash: tr.crash, Age: now.Sub(tr.ended), Ran: tr.ended.Sub(tr.sent), Canceled: tr.canceled, Separate: tr.separate, Presumed: tr.presumed})
+		if tr.withdrawn {
+			list = append(list, Report{Kind: Withdrawn, Fingerprint: f, Crash: tr.crash, Presumed: true})
+		}
 	}
 	if !r.rejectedAt.IsZero() {
 		list = append(list, Report{Kind: Rejected, Fingerprint: f, Age: now.Sub(r.rejectedAt)})
