soak: requests that end servers in various ways

The kind ending-request sends a request under which servers refuse connections, are silent, reset them, or vanish with all connections open, drawn for each server.

--- a/soak/crash.go
+++ b/soak/crash.go
@@ -50,10 +50,26 @@
 	}}
 }
 
+// sendEndingRequest is sendCrashingRequest with servers that end in various ways.
+func sendEndingRequest(e *testEnv) activeFault {
+	e.crashEnds.Add(1)
+	f := sendCrashingRequest(e)
+	end := f.end
+	f.end = func() {
+		end()
+		e.crashEnds.Add(-1)
+	}
+	return f
+}
+
 // crashUnder stops a server because of a request and starts another one after
-// crashRestart.
+// crashRestart. The way it ends varies while sendEndingRequest is active.
 func (e *testEnv) crashUnder(s *server) {
-	e.stopServer(s)
+	if how := fakes.End(rand.IntN(int(fakes.EndVanished) + 1)); e.crashEnds.Load() > 0 && how != fakes.EndRefusing {
+		e.endServer(s, how)
+	} else {
+		e.stopServer(s)
+	}
 	time.AfterFunc(crashRestart, func() {
 		e.mu.Lock()
 		closed := e.closed
@@ -64,6 +80,22 @@
 	})
 }
 
+// endServer ends a server that leaves its address behind.
+func (e *testEnv) endServer(s *server, how fakes.End) {
+	e.mu.Lock()
+	delete(e.servers, s.ID)
+	e.left = append(e.left, s)
+	e.mu.Unlock()
+	if how == fakes.EndVanished {
+		s.Vanish()
+	} else {
+		s.proxy.setState(linkReset)
+	}
+	if how != fakes.EndResetting {
+		s.proxy.setState(linkSilent)
+	}
+}
+
 // replaceServer removes a stopped server from the store and starts another one.
 func (e *testEnv) replaceServer(s *server) {
 	e.store.Delete("servers", s.ID)
--- a/soak/env.go
+++ b/soak/env.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -64,6 +66,10 @@
 	// receivers maps the attempts of requests that crash servers to the nodes that
 	// received them.
 	receivers map[string]string
+	// crashEnds is positive while servers end in various ways under requests. left
+	// holds those of which the address is still in use.
+	crashEnds atomic.Int64
+	left      []*server
 	closed    bool
 }
 
@@ -213,7 +219,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.closed = true
-	for _, s := range e.servers {
+	for _, s := range slices.AppendSeq(e.left, maps.Values(e.servers)) {
 		s.proxy.close()
 		_ = s.http.Close()
 	}
