poison: nodes at which a request has completed contradict doubts of others

Cause: a presumption suspects no request that has ever completed, but each node knows only the completions of its own.

Change: a node that receives a doubt or a presumption about a request that has completed there answers with that, and all nodes drop the doubt.

--- a/internal/mesh/share.go
+++ b/internal/mesh/share.go
@@ -35,6 +35,8 @@
 	Merge(reports []poison.Report) []poison.Report
 	// Reports returns all reports, the newest records first.
 	Reports() []poison.Report
+	// Contradict returns the reports with which this node contradicts others.
+	Contradict(reports []poison.Report) []poison.Report
 }
 
 // WithEvidence sets the record of crashes that the nodes share. By default none is
@@ -86,6 +88,9 @@
 	if c.Forward && len(added) > 0 {
 		m.sendReports(m.domainMembers(), crashReports{Reports: added})
 	}
+	if contrary := m.evidence.Contradict(c.Reports); len(contrary) > 0 {
+		m.sendReports([]member.Record{{Gossip: c.From}}, crashReports{Reports: contrary, Forward: true})
+	}
 	if c.Reply {
 		m.sendReports([]member.Record{{Gossip: c.From}}, crashReports{Reports: m.newestReports()})
 	}
--- a/internal/relay/screen.go
+++ b/internal/relay/screen.go
@@ -30,7 +30,7 @@
 	verdict := t.Verdict(r.fingerprint)
 	if verdict != poison.Quarantined && t.Held(r.fingerprint) {
 		r.verdict = "held"
-		return &proto.Refused{Reason: "equal requests may have crashed upstreams; the result is awaited", RetryAfter: suspectRetryAfter}, nil
+		return &proto.Refused{Reason: "an equal request may have crashed an upstream, and the result is awaited", RetryAfter: suspectRetryAfter}, nil
 	}
 	switch verdict {
 	case poison.Quarantined:
--- a/pkg/poison/enums_string.go
+++ b/pkg/poison/enums_string.go
@@ -34,11 +34,12 @@
 	_ = x[Rejected-2]
 	_ = x[Doubted-3]
 	_ = x[Withdrawn-4]
+	_ = x[Completed-5]
 }
 
-const _Kind_name = "crashedclearedrejecteddoubtedwithdrawn"
+const _Kind_name = "crashedclearedrejecteddoubtedwithdrawncompleted"
 
-var _Kind_index = [...]uint8{0, 7, 14, 22, 29, 38}
+var _Kind_index = [...]uint8{0, 7, 14, 22, 29, 38, 47}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/pkg/poison/presumed_test.go
+++ b/pkg/poison/presumed_test.go
@@ -129,3 +129,24 @@
 		}
 	})
 }
+
+// A popular request may be new to the node that lost its upstreams. The nodes at which it
+// has completed must clear it.
+func TestDoubtIsContradictedByNodeThatSawTheRequestComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := New(), New()
+		b.RecordSuccess(7)
+		time.Sleep(time.Minute)
+		var reports []Report
+		for i := range 3 {
+			reports = append(reports, presume(a, fmt.Sprintf("u%d/1", i), 7)...)
+		}
+		if added := b.Merge(reports); len(added) > 0 {
+			t.Errorf("Merge() at the node that saw a success = %v, want none", added)
+		}
+		a.Merge(b.Contradict(reports))
+		if got, want := a.Verdict(7), Proven; got != want {
+			t.Errorf("Verdict() = %v, want %v", got, want)
+		}
+	})
+}
--- a/pkg/poison/record.go
+++ b/pkg/poison/record.go
@@ -118,6 +118,17 @@
 	return r, true
 }
 
+// completed returns the record with crashes only that were not presumed, or false if it
+// holds no other trials.
+func (r record) completed() (record, bool) {
+	trials := slices.DeleteFunc(slices.Clone(r.trials), func(t trial) bool { return t.presumed })
+	if len(trials) == len(r.trials) && len(r.doubted) == 0 {
+		return r, false
+	}
+	r.trials, r.doubted = trials, nil
+	return r, true
+}
+
 // resolved returns the record without the trial that had no result.
 func (r record) resolved(crash string) record {
 	r.doubted = slices.DeleteFunc(slices.Clone(r.doubted), func(t trial) bool { return t.crash == crash })
--- a/pkg/poison/report.go
+++ b/pkg/poison/report.go
@@ -18,6 +18,9 @@
 	// Withdrawn reports that such a trial has a result other than a crash, and, if
 	// Presumed is set, that an upstream whose crash was presumed has responded.
 	Withdrawn // withdrawn
+	// Completed reports that the request has completed before, so that no doubt or
+	// presumption counts against it.
+	Completed // completed
 )
 
 // Report is evidence about one fingerprint that nodes exchange: it was in flight in
@@ -55,6 +58,11 @@
 	changed := make(map[Fingerprint]record)
 	var added []Report
 	for _, r := range reports {
+		if r.Kind == Completed {
+			t.addProven(r.Fingerprint, now.Add(-max(r.Age, 0)))
+		} else if r.isDoubt() && t.proven.Contains(r.Fingerprint) {
+			continue
+		}
 		old, ok := changed[r.Fingerprint]
 		if !ok {
 			old = t.current(r.Fingerprint, now)
@@ -67,13 +75,14 @@
 	for f, r := range changed {
 		if r.expired(now, t.retention) {
 			delete(changed, f)
+			t.records.Remove(f)
 			continue
 		}
 		t.records.Add(f, r)
 	}
 	added = slices.DeleteFunc(added, func(r Report) bool {
 		_, kept := changed[r.Fingerprint]
-		return !kept
+		return !kept && r.Kind != Completed
 	})
 	for _, r := range added {
 		if r.Kind == Crashed && !r.Canceled {
@@ -83,6 +92,28 @@
 	return added
 }
 
+// isDoubt reports whether the report shows less than a crash.
+func (r Report) isDoubt() bool { return r.Kind == Doubted || r.Kind == Crashed && r.Presumed }
+
+// addProven records a success that another node has seen.
+func (t *Tracker) addProven(f Fingerprint, at time.Time) {
+	if known, ok := t.proven.Peek(f); !ok || at.After(known) {
+		t.proven.Add(f, at)
+	}
+}
+
+// Contradict returns the reports with which this node contradicts those of another node:
+// requests that are doubted there and have completed here.
+func (t *Tracker) Contradict(reports []Report) []Report {
+	var list []Report
+	for _, r := range reports {
+		if at, proven := t.proven.Peek(r.Fingerprint); proven && r.isDoubt() {
+			list = append(list, Report{Kind: Completed, Fingerprint: r.Fingerprint, Age: time.Since(at)})
+		}
+	}
+	return list
+}
+
 // current returns the record of a fingerprint without evidence that has expired.
 func (t *Tracker) current(f Fingerprint, now time.Time) record {
 	r, _ := t.records.Peek(f)
@@ -110,6 +141,8 @@
 		return r.cleared(at)
 	case Rejected:
 		return r.rejected(at)
+	case Completed:
+		return r.completed()
 	}
 	return r, false
 }
