poison: a crash that one request explains does not count against the others

Cause: a popular request was in flight beside the crashing one in three crashes without a completion in between; the nodes that had seen it complete had been killed. Each suspect of a crash counted it in full, and a quarantined request is not sent, so that it never completes again.

Change: a crash counts against a request only if no other suspect of it has crashed more upstreams. Of two with equal numbers one explains the other; if it is the wrong one, the other's next crash corrects it.

--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -134,12 +134,14 @@
 // over proof.
 func (t *Tracker) Verdict(f Fingerprint) Verdict {
 	proven := t.proven.Contains(f)
-	switch trials, alone := t.count(f); {
-	case trials >= crashesToConvict, trials >= crashesAlone && alone && !proven:
+	trials, alone := t.count(f)
+	if trials >= crashesToConvict || trials >= crashesAlone && alone && !proven {
 		return Quarantined
-	case trials > 0:
+	}
+	if _, all := t.recordOf(f); all > 0 {
 		return Suspect
-	case proven:
+	}
+	if proven {
 		return Proven
 	}
 	return Novel
@@ -152,20 +154,53 @@
 	return trials
 }
 
-// count returns the number of trials of the fingerprint that ended in a crash, and
-// whether it was the only suspect of one of them.
+// count returns the number of trials of the fingerprint that ended in a crash and that no
+// other request explains, and whether it was the only suspect of one of them.
 func (t *Tracker) count(f Fingerprint) (trials int, alone bool) {
 	if t.records.Len() == 0 {
 		return 0, false
 	}
+	r, all := t.recordOf(f)
+	if all == 0 {
+		return 0, false
+	}
+	return r.count(func(tr trial) bool { return t.isExplained(tr, f, all) }, func(tr trial) bool { return t.isAlone(tr, f) })
+}
+
+// recordOf returns the record of a fingerprint unless it has expired, and the number of its
+// trials, explained or not.
+func (t *Tracker) recordOf(f Fingerprint) (record, int) {
 	r, ok := t.records.Peek(f)
 	if !ok || r.expired(time.Now(), t.retention) {
-		return 0, false
+		return record{}, 0
+	}
+	trials, _ := r.count(never, never)
+	return r, trials
+}
+
+func never(trial) bool { return false }
+
+// isAlone reports whether the fingerprint is the only suspect of a crash that is proven.
+func (t *Tracker) isAlone(tr trial, f Fingerprint) bool {
+	s, _ := t.crashes.Peek(tr.crash)
+	return !tr.presumed && len(s.list) == 1 && s.list[0] == f
+}
+
+// isExplained reports whether the crash is explained by another of its suspects, which has
+// crashed upstreams more often. Of two that did equally often, one explains the other; if it
+// is the wrong one, the other's next crash corrects it.
+func (t *Tracker) isExplained(tr trial, f Fingerprint, trials int) bool {
+	s, _ := t.crashes.Peek(tr.crash)
+	for _, other := range s.list {
+		if other == f {
+			continue
+		}
+		_, n := t.recordOf(other)
+		if n >= crashesToConvict && (n > trials || n == trials && other > f) {
+			return true
+		}
 	}
-	return r.count(func(tr trial) bool {
-		s, known := t.crashes.Peek(tr.crash)
-		return known && !tr.presumed && s.first == f && !s.several
-	})
+	return false
 }
 
 // NextTrial returns the time from which another crash of the fingerprint would be another
--- a/pkg/poison/record.go
+++ b/pkg/poison/record.go
@@ -61,12 +61,11 @@
 	withdrawn bool
 }
 
+// maxSuspects bounds the suspects kept for each crash.
+const maxSuspects = 16
+
 // suspects holds who may have caused one crash, without canceled requests.
-type suspects struct {
-	first Fingerprint
-	// several reports whether there are more suspects than first.
-	several bool
-}
+type suspects struct{ list []Fingerprint }
 
 // crashed returns the record with the trial added, or false if it is known already or
 // began before the last success.
@@ -146,7 +145,7 @@
 	if open == 0 {
 		return false
 	}
-	trials, _ := r.count(func(trial) bool { return false })
+	trials, _ := r.count(never, never)
 	return open+trials >= heldTrials
 }
 
@@ -175,12 +174,12 @@
 	return r, true
 }
 
-// count returns the number of consecutive trials, and whether any of them was alone.
-// Those that were not sent TrialGap after the crash of another count once.
-func (r record) count(alone func(t trial) bool) (trials int, anyAlone bool) {
+// count returns the number of consecutive trials that are not explained, and whether any
+// of them was alone. Those that were not sent TrialGap after the crash of another count once.
+func (r record) count(explained, alone func(t trial) bool) (trials int, anyAlone bool) {
 	var end time.Time
 	for _, t := range r.trials {
-		if t.withdrawn {
+		if t.withdrawn || explained(t) {
 			continue
 		}
 		if trials == 0 || t.separate || !t.sent.Before(end.Add(TrialGap)) {
--- a/pkg/poison/report.go
+++ b/pkg/poison/report.go
@@ -149,11 +149,10 @@
 
 // addSuspect must be called with mu held.
 func (t *Tracker) addSuspect(crash string, f Fingerprint) {
-	s, known := t.crashes.Peek(crash)
-	if !known {
-		s.first = f
+	s, _ := t.crashes.Peek(crash)
+	if len(s.list) < maxSuspects && !slices.Contains(s.list, f) {
+		s.list = append(slices.Clone(s.list), f)
 	}
-	s.several = s.several || s.first != f
 	t.crashes.Add(crash, s)
 }
 
