relay: log the limits that upstreams state

The header was not decoded anywhere, so that nothing showed which upstream states a limit, and which node has heard it. Answers now carry it as a quota.Limit, decoded in platform/, and a node logs each change. A value that is no decimal number (empty, negative, NaN, 1e400, words) neither sets nor ends a limit; of several values the lowest counts. The header is no longer passed on to callers, like the upstreams' load. No change of what is sent.

--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"geraniumstep.org/geraniumstep/internal/memory"
+	"geraniumstep.org/geraniumstep/pkg/quota"
 )
 
 // Request is a request as received from the caller.
@@ -106,6 +107,8 @@
 	// HasLoad reports whether Running and Waiting hold the upstream's load.
 	HasLoad          bool
 	Running, Waiting int
+	// Limit is the rate of requests that the upstream accepts from all nodes.
+	Limit quota.Limit
 }
 
 // Dialect reads and writes the headers of callers and upstreams.
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -8,6 +8,7 @@
 	"geraniumstep.org/geraniumstep/pkg/fleet"
 	"geraniumstep.org/geraniumstep/pkg/gate"
 	"geraniumstep.org/geraniumstep/pkg/place"
+	"geraniumstep.org/geraniumstep/pkg/quota"
 )
 
 // upstream is one incarnation of an upstream, with this node's connections to it,
@@ -19,6 +20,8 @@
 	slots atomic.Int64
 	pool  *link.Pool
 	crash *crashCheck
+	// limit is what the upstream last stated, or nil.
+	limit atomic.Pointer[quota.Limit]
 }
 
 // incarnation identifies the upstream's process.
