relay: keep within the limits that upstreams state

Cause: nobody kept to the limit, and no node alone can: it holds for the sum of all nodes, which have no place to count together. The class: a bound on a sum that no part of the system owns.

Change: pkg/quota divides the limit among few nodes, chosen by each node in the same way from the list of nodes, most of them in the upstream's failure domain. Each send takes a turn in one place, relay.waitForTurn. The wait for a turn counts in the choice of the upstream and in admission; what cannot be sent in time is rejected at once, lower priorities first. News of a limit and of its end reach all nodes by datagram.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -34,6 +34,7 @@
 	"geraniumstep.org/geraniumstep/pkg/life"
 	"geraniumstep.org/geraniumstep/pkg/member"
 	"geraniumstep.org/geraniumstep/pkg/poison"
+	"geraniumstep.org/geraniumstep/pkg/quota"
 	"geraniumstep.org/geraniumstep/pkg/retry"
 )
 
@@ -105,6 +106,7 @@
 		relay.WithCrashes(d.crashes, d.shareCrashes),
 		relay.WithQuarantined(d.saveQuarantine),
 		relay.WithReachable(d.heardSince),
+		relay.WithLimitNews(d.shareLimit),
 		relay.WithRegistry(d.registry),
 	)
 	d.engine.SetNodes(b.Nodes, b.Nodes)
@@ -135,7 +137,7 @@
 	d.self = self
 	d.mesh = mesh.New(self, l, packets, d.state, link.Dial,
 		mesh.WithSeeds(d.settings.Peers), mesh.WithFirstStart(d.settings.FirstStart), mesh.WithLog(d.log), mesh.WithChanged(d.membersChanged),
-		mesh.WithService(relay.GatherService, d.engine.Gatherer()), mesh.WithEvidence(d.crashes))
+		mesh.WithService(relay.GatherService, d.engine.Gatherer()), mesh.WithEvidence(d.crashes), mesh.WithLimits(d.engine.LearnLimit))
 	d.state.publish, d.state.bestStoreAge = d.mesh.Publish, d.mesh.BestStoreAge
 	return nil
 }
@@ -143,6 +145,9 @@
 // shareCrashes sends reports of crashed upstreams to the other nodes.
 func (d *Daemon) shareCrashes(reports []poison.Report) { d.mesh.Share(reports) }
 
+// shareLimit sends news of an upstream's limit to the other nodes.
+func (d *Daemon) shareLimit(n quota.News) { d.mesh.ShareLimit(n) }
+
 // heardSince reports whether another node or the store has been heard of since the time.
 func (d *Daemon) heardSince(t time.Time) bool {
 	return d.mesh.HeardSince(t) || time.Since(t) > d.state.StoreAge()
@@ -155,9 +160,10 @@
 	}
 }
 
-// membersChanged divides the budget and the connections among all known nodes, and
-// selects the gatherers, which send shard requests for the other nodes. Dead nodes
-// still count for the budget, because what they spent is still within the window.
+// membersChanged divides the budget, the connections and the limits of upstreams among
+// all known nodes, and selects the gatherers, which send shard requests for the other
+// nodes. Dead nodes still count for the budget, because what they spent is still within
+// the window.
 func (d *Daemon) membersChanged(records []member.Record) {
 	var alive, known []gather.Node
 	for _, r := range records {
@@ -166,6 +172,7 @@
 			alive = append(alive, d.nodeOf(r))
 		}
 	}
+	d.engine.SetQuotaNodes(quota.NewNodes(quota.Node{VM: d.self.VM, Domain: d.self.Domain}, quotaNodes(records)))
 	nodes, gatherers := len(records), gather.New(d.nodeOf(d.self), known).Total()
 	if nodes == 1 {
 		nodes, gatherers = d.settings.Budget.Nodes, d.settings.Budget.Nodes
@@ -175,6 +182,18 @@
 	d.engine.SetPeers(set, d.mesh.Call)
 }
 
+// quotaNodes returns the nodes that divide the limits of upstreams. Those that are only
+// unreachable may be sending on behind a cut, and keep their part.
+func quotaNodes(records []member.Record) []quota.Node {
+	var list []quota.Node
+	for _, r := range records {
+		if r.Status != member.Left {
+			list = append(list, quota.Node{VM: r.VM, Domain: r.Domain})
+		}
+	}
+	return list
+}
+
 func (d *Daemon) nodeOf(r member.Record) gather.Node {
 	return gather.Node{VM: r.VM, Addr: r.Addr, Domain: r.Domain, Region: d.settings.Regions[r.Domain], Capacity: r.Capacity}
 }
--- /dev/null
+++ b/internal/mesh/limits_test.go
@@ -0,0 +1,38 @@
+package mesh
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"geraniumstep.org/geraniumstep/pkg/quota"
+)
+
+// What one node hears of a limit must reach all nodes, of which most send the upstream
+// nothing and would not hear of its end.
+func TestNewsOfLimitsReachAllNodes(t *testing.T) {
+	var nodes []*Mesh
+	var received []*atomic.Int64
+	for i, domain := range []string{"a", "a", "b", "b", "b"} {
+		var seeds []string
+		if i > 0 {
+			seeds = []string{nodes[0].self.Addr}
+		}
+		m, _ := newSharingMesh(t, domain+string(rune('1'+i)), domain, seeds...)
+		n := new(atomic.Int64)
+		WithLimits(func(quota.News) bool { return n.Add(1) == 1 })(m)
+		nodes, received = append(nodes, m), append(received, n)
+	}
+	for _, m := range nodes {
+		m.start(t)
+	}
+	awaitMembers(t, nodes...)
+	start := time.Now()
+	nodes[0].ShareLimit(quota.NewsOf("i-1", 17, quota.At(5)))
+	for i, n := range received[1:] {
+		eventually(t, "node "+nodes[i+1].self.VM+" has the news", func() bool { return n.Load() > 0 })
+	}
+	if got, limit := time.Since(start), time.Second; got > limit {
+		t.Errorf("all nodes have the news after %v, want at most %v", got, limit)
+	}
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -16,6 +16,7 @@
 	"geraniumstep.org/geraniumstep/internal/peer"
 	"geraniumstep.org/geraniumstep/internal/tasks"
 	"geraniumstep.org/geraniumstep/pkg/member"
+	"geraniumstep.org/geraniumstep/pkg/quota"
 )
 
 const (
@@ -73,6 +74,7 @@
 	server       *rpc.Server
 	changed      func(records []member.Record)
 	evidence     Evidence
+	learnLimit   func(quota.News) bool
 
 	mu         sync.Mutex
 	tracker    *member.Tracker
@@ -139,7 +141,7 @@
 	m := &Mesh{
 		self: self, listener: l, packets: packets, state: state,
 		log: logrus.NewEntry(logrus.StandardLogger()), peers: peer.NewPeers(dial), server: rpc.NewServer(),
-		startupDelay: startupDelay, changed: func([]member.Record) {}, heartbeats: make(map[string]receivedHeartbeat), conns: make(map[net.Conn]bool),
+		startupDelay: startupDelay, changed: func([]member.Record) {}, learnLimit: func(quota.News) bool { return false }, heartbeats: make(map[string]receivedHeartbeat), conns: make(map[net.Conn]bool),
 	}
 	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	m.tracker = member.New(self, source,
@@ -285,6 +287,9 @@
 		if d.Crashes != nil {
 			m.receiveReports(*d.Crashes)
 		}
+		if d.Limit != nil {
+			m.receiveLimit(*d.Limit)
+		}
 	}
 }
 
--- a/internal/mesh/types.go
+++ b/internal/mesh/types.go
@@ -65,11 +65,13 @@
 	StoreFailing time.Duration `msgpack:"f,omitempty"`
 }
 
-// datagram is one UDP message: a membership message, a heartbeat or crash reports.
+// datagram is one UDP message: a membership message, a heartbeat, crash reports or news of a
+// limit.
 type datagram struct {
 	Message   *member.Message `msgpack:"m,omitempty"`
 	Heartbeat *heartbeat      `msgpack:"b,omitempty"`
 	Crashes   *crashReports   `msgpack:"c,omitempty"`
+	Limit     *limitNews      `msgpack:"l,omitempty"`
 }
 
 // Views carries a full membership view.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -12,6 +12,7 @@
 	"geraniumstep.org/geraniumstep/internal/link"
 	"geraniumstep.org/geraniumstep/internal/memory"
 	"geraniumstep.org/geraniumstep/internal/proto"
+	"geraniumstep.org/geraniumstep/internal/tasks"
 	"geraniumstep.org/geraniumstep/pkg/crash"
 	"geraniumstep.org/geraniumstep/pkg/fanout"
 	"geraniumstep.org/geraniumstep/pkg/gate"
@@ -26,7 +27,7 @@
 
 	mu       sync.Mutex
 	canceled bool
-	// withdraw ends the wait for a slot. conn is the connection in use, if any.
+	// withdraw ends the wait for a slot or a turn. conn is the connection in use, if any.
 	withdraw context.CancelFunc
 	conn     *link.Conn
 }
@@ -50,6 +51,15 @@
 	return a.canceled
 }
 
+// setWithdraw sets the function that ends the wait for a slot or a turn. It reports whether
+// the attempt has not been canceled.
+func (a *attempt) setWithdraw(cancel context.CancelFunc) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.withdraw = cancel
+	return !a.canceled
+}
+
 // setConn sets the connection in use, or clears it if c is nil. It reports whether
 // the attempt has not been canceled.
 func (a *attempt) setConn(c *link.Conn) bool {
@@ -73,6 +83,10 @@
 	if !u.gate.TryAcquire(ticket) && !r.waitForSlot(a, ticket) {
 		return attemptDone{attempt: a, notRun: true, unsent: true, cause: "no_slot"}
 	}
+	if !r.waitForTurn(a) {
+		u.gate.Release(ticket, 0, gate.OutcomeCanceled)
+		return attemptDone{attempt: a, notRun: true, unsent: true, cause: "limited"}
+	}
 	start := time.Now()
 	d, outcome := r.exchange(a)
 	d.waited = start.Sub(a.placedAt)
@@ -85,17 +99,34 @@
 func (r *run) waitForSlot(a *attempt, ticket gate.Ticket) bool {
 	ctx, cancel := context.WithDeadline(r.engine.baseCtx, r.plan.Deadline)
 	defer cancel()
-	a.mu.Lock()
-	a.withdraw = cancel
-	canceled := a.canceled
-	a.mu.Unlock()
-	if canceled {
+	if !a.setWithdraw(cancel) {
 		return false
 	}
 	_, ok := a.upstream.gate.Acquire(ctx, ticket)
 	return ok
 }
 
+// waitForTurn waits until the upstream's limit allows the attempt. It returns false if that
+// is too late, or the attempt is canceled before.
+func (r *run) waitForTurn(a *attempt) bool {
+	q := a.upstream.quota
+	wait, ok := q.Reserve(r.engine.quotaNodes.Load(), r.route.Priority(), r.timeLeft())
+	if !ok {
+		r.engine.metrics.limited.Inc()
+		return false
+	}
+	if wait <= 0 {
+		return true
+	}
+	ctx, cancel := context.WithCancel(r.engine.baseCtx)
+	defer cancel()
+	if !a.setWithdraw(cancel) || !tasks.Sleep(ctx, wait) {
+		q.Cancel()
+		return false
+	}
+	return true
+}
+
 // exchange sends the request on a connection and reads the response.
 func (r *run) exchange(a *attempt) (attemptDone, gate.Outcome) {
 	u := a.upstream
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -297,6 +297,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
+	u.quota.Charge()
 	header := make(http.Header, 2)
 	e.dialect.WriteCall(header, proto.Call{Upstream: probeRecipient, Remaining: probeTimeout})
 	req := &proto.Request{Method: http.MethodGet, Target: "/", Host: u.entry.Addr()}
--- a/internal/relay/deps.go
+++ b/internal/relay/deps.go
@@ -14,13 +14,13 @@
 		delete(r.pendingGroups, service)
 		return g, true
 	}
-	u := r.engine.upstreams.Load().pick(service, time.Until(r.plan.SoftDeadline), func(u *upstream) bool { return contains(tried, u) })
+	u := r.pick(service, func(u *upstream) bool { return contains(tried, u) })
 	return u, u != nil
 }
 
 // ExpectedLatency implements fanout.Deps.
 func (r *run) ExpectedLatency(service string, tried []fanout.Upstream) (time.Duration, bool) {
-	u := r.engine.upstreams.Load().pick(service, time.Until(r.plan.SoftDeadline), func(u *upstream) bool { return contains(tried, u) })
+	u := r.pick(service, func(u *upstream) bool { return contains(tried, u) })
 	if u == nil {
 		return 0, false
 	}
--- a/internal/relay/do.go
+++ b/internal/relay/do.go
@@ -98,7 +98,7 @@
 func (r *run) admission(now time.Time) admit.Decision {
 	expected := make([]time.Duration, 0, len(r.plan.Services))
 	for _, s := range r.plan.Services {
-		if d, ok := r.directory.minExpected(s, now); ok {
+		if d, ok := r.expected(s, now); ok {
 			expected = append(expected, d)
 		}
 	}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -12,7 +12,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -30,6 +29,7 @@
 	"geraniumstep.org/geraniumstep/pkg/gate"
 	"geraniumstep.org/geraniumstep/pkg/place"
 	"geraniumstep.org/geraniumstep/pkg/poison"
+	"geraniumstep.org/geraniumstep/pkg/quota"
 	"geraniumstep.org/geraniumstep/pkg/retry"
 	"geraniumstep.org/geraniumstep/pkg/split"
 	"geraniumstep.org/geraniumstep/pkg/vhost"
@@ -56,6 +56,10 @@
 	share func([]poison.Report)
 	// quarantined is called when this node quarantines a request.
 	quarantined func(poison.Fingerprint)
+	// quotaNodes are the nodes that divide the limits of upstreams, and shareLimit
+	// tells them what an upstream has stated.
+	quotaNodes atomic.Pointer[quota.Nodes]
+	shareLimit func(quota.News)
 	// reachable reports whether anything but upstreams has been heard of since a time.
 	reachable func(since time.Time) bool
 	// lastHeard is the last response of any upstream, or nil.
@@ -153,7 +157,7 @@
 		dialect: d, log: logrus.NewEntry(logrus.StandardLogger()), dial: link.Dial,
 		budget: retry.New(), shardBudget: retry.New(), splitter: split.New(), metrics: newMetrics(),
 		lead: defaultLead, memory: memory.New(defaultMemoryBytes), tracker: poison.New(), share: func([]poison.Report) {}, quarantined: func(poison.Fingerprint) {},
-		reachable: func(time.Time) bool { return false },
+		reachable: func(time.Time) bool { return false }, shareLimit: func(quota.News) {},
 	}
 	e.nodes.Store(1)
 	e.gatherers.Store(1)
@@ -290,6 +294,7 @@
 	}
 	u.slots.Store(int64(slots))
 	u.crash = e.newCrashCheck(u)
+	u.quota = quota.New(u.incarnation(), entry.Domain())
 	return u
 }
 
@@ -308,27 +313,3 @@
 	s, ok := d.byService[service]
 	return ok && slices.ContainsFunc(s.stats, func(s *place.Stats) bool { return s.Distance() == place.SameDomain })
 }
-
-// pick chooses an upstream of the service by its statistics and the time left until
-// the target. It returns nil if there is none.
-func (d *directory) pick(service string, left time.Duration, excluded func(u *upstream) bool) *upstream {
-	p, ok := d.byService[service]
-	if !ok {
-		return nil
-	}
-	i := place.Pick(p.stats, time.Now(), place.RemotePenaltyWithin(left), rand.IntN(len(p.stats)), func(i int) bool { return excluded(p.upstreams[i]) })
-	if i < 0 {
-		return nil
-	}
-	return p.upstreams[i]
-}
-
-// minExpected returns the shortest expected response time among the upstreams of
-// the service.
-func (d *directory) minExpected(service string, now time.Time) (time.Duration, bool) {
-	p, ok := d.byService[service]
-	if !ok {
-		return 0, false
-	}
-	return place.ExpectedLatency(p.stats, now), true
-}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -15,9 +15,11 @@
 	// crashed upstreams.
 	quarantined prometheus.Counter
 	denied      prometheus.Counter
-	latency     *prometheus.HistogramVec
-	upstream    prometheus.Histogram
-	version     prometheus.Gauge
+	// limited counts attempts that the limits of upstreams did not allow in time.
+	limited  prometheus.Counter
+	latency  *prometheus.HistogramVec
+	upstream prometheus.Histogram
+	version  prometheus.Gauge
 }
 
 // latencyBuckets range from the response time of a healthy upstream to the longest
@@ -40,6 +42,8 @@
 			Name: "geraniumstep_relay_quarantined_total", Help: "Requests rejected because equal ones have crashed upstreams."}),
 		denied: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "geraniumstep_relay_extra_denied_total", Help: "Hedges and retries that the budget did not allow."}),
+		limited: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "geraniumstep_relay_limited_total", Help: "Attempts that the limit of an upstream did not allow in time."}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "geraniumstep_relay_seconds", Help: "Time to the answer by priority.", Buckets: latencyBuckets}, []string{"priority"}),
 		upstream: prometheus.NewHistogram(prometheus.HistogramOpts{
@@ -50,5 +54,5 @@
 }
 
 func (m *metrics) all() []prometheus.Collector {
-	return []prometheus.Collector{m.requests, m.sends, m.failures, m.broken, m.exhausted, m.quarantined, m.denied, m.latency, m.upstream, m.version}
+	return []prometheus.Collector{m.requests, m.sends, m.failures, m.broken, m.exhausted, m.quarantined, m.denied, m.limited, m.latency, m.upstream, m.version}
 }
--- /dev/null
+++ b/internal/relay/pick.go
@@ -0,0 +1,73 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"geraniumstep.org/geraniumstep/pkg/place"
+)
+
+// pick chooses an upstream of the service by its statistics, its limit and the time left
+// until the target. It returns nil if there is none that may be sent the request in time.
+func (r *run) pick(service string, excluded func(u *upstream) bool) *upstream {
+	p, ok := r.engine.upstreams.Load().byService[service]
+	if !ok {
+		return nil
+	}
+	nodes, left := r.engine.quotaNodes.Load(), r.timeLeft()
+	penalty := place.RemotePenaltyWithin(time.Until(r.plan.SoftDeadline))
+	i := place.PickDelayed(p.stats, time.Now(), penalty, rand.IntN(len(p.stats)), func(i int) (time.Duration, bool) {
+		u := p.upstreams[i]
+		if excluded(u) {
+			return 0, false
+		}
+		return u.quota.Wait(nodes, r.route.Priority(), left)
+	})
+	if i < 0 {
+		return nil
+	}
+	return p.upstreams[i]
+}
+
+// timeLeft returns the time until the target, or until the deadline once it has passed.
+func (r *run) timeLeft() time.Duration {
+	if left := time.Until(r.plan.SoftDeadline); left > 0 {
+		return left
+	}
+	return time.Until(r.plan.Deadline)
+}
+
+// AvailableIn implements fanout.Deps. A service without upstreams may get one at any time.
+func (r *run) AvailableIn(service string) (time.Duration, bool) {
+	p, ok := r.directory.byService[service]
+	if !ok {
+		return 0, true
+	}
+	return r.shortestWait(p)
+}
+
+// shortestWait returns the shortest time until one of the upstreams may be sent the request.
+// It returns false if none may be before it is too late.
+func (r *run) shortestWait(p *serviceUpstreams) (shortest time.Duration, ok bool) {
+	nodes, left := r.engine.quotaNodes.Load(), r.timeLeft()
+	for _, u := range p.upstreams {
+		if wait, open := u.quota.Wait(nodes, r.route.Priority(), left); open && (!ok || wait < shortest) {
+			shortest, ok = wait, true
+		}
+	}
+	return shortest, ok
+}
+
+// expected returns the estimated time to an answer of the service. It returns false if none
+// of its upstreams may be sent the request in time.
+func (r *run) expected(service string, now time.Time) (time.Duration, bool) {
+	p, ok := r.directory.byService[service]
+	if !ok {
+		return 0, false
+	}
+	wait, ok := r.shortestWait(p)
+	if !ok {
+		return 0, false
+	}
+	return wait + place.ExpectedLatency(p.stats, now), true
+}
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -20,8 +20,7 @@
 	slots atomic.Int64
 	pool  *link.Pool
 	crash *crashCheck
-	// limit is what the upstream last stated, or nil.
-	limit atomic.Pointer[quota.Limit]
+	quota *quota.Upstream
 }
 
 // incarnation identifies the upstream's process.
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -138,7 +138,7 @@
 	}
 	u, ok := f.deps.Pick(f.plan.Services[i], nil)
 	if !ok {
-		f.legs[i].retryAt = now.Add(retryInterval)
+		f.await(i, now)
 		return
 	}
 	if f.plan.Repeat && !f.deps.SpendNeeded(f.plan.Services[i]) {
@@ -237,12 +237,23 @@
 func (f *Fanout) waitOrFail(i int, now time.Time) {
 	if l := &f.legs[i]; !l.sent {
 		l.tried = nil
-		l.retryAt = now.Add(retryInterval)
+		f.await(i, now)
 		return
 	}
 	f.failLeg(i)
 }
 
+// await makes a leg that was never sent wait until an upstream is available, or fails it if
+// none will be in time.
+func (f *Fanout) await(i int, now time.Time) {
+	wait, ok := f.deps.AvailableIn(f.plan.Services[i])
+	if !ok {
+		f.failLeg(i)
+		return
+	}
+	f.legs[i].retryAt = now.Add(max(wait, retryInterval))
+}
+
 func (f *Fanout) failLeg(i int) {
 	if f.legs[i].state == legOpen {
 		f.legs[i].state = legFailed
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -16,6 +16,8 @@
 	unreliable   bool
 	blocked      bool
 	nextTrial    time.Time
+	// exhausted reports that no upstream may be sent a request in time.
+	exhausted bool
 	// speculative counts the calls of SpendSpeculative.
 	speculative int
 }
@@ -27,6 +29,8 @@
 	return service + string(rune('a'+len(tried))), true
 }
 
+func (d *fakeDeps) AvailableIn(string) (time.Duration, bool) { return 0, !d.exhausted }
+
 func (d *fakeDeps) MaxUpstreams(Upstream) int { return max(d.maxUpstreams, 1) }
 
 func (d *fakeDeps) Blocked() bool { return d.blocked }
@@ -127,6 +131,17 @@
 	})
 }
 
+// A request that no upstream may be sent in time, because all limit their requests, must
+// end at once instead of at its deadline.
+func TestExhaustedServiceFailsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New(plan(1, 1), &fakeDeps{none: true, exhausted: true})
+		if got, ended := outcome(f.Step(Start{})); !ended || got != OutcomeFailed {
+			t.Errorf("outcome = %v, %v, want %v at once", got, ended, OutcomeFailed)
+		}
+	})
+}
+
 func TestCompleteEndsAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := New(plan(2, 1), &fakeDeps{hedgeAfter: time.Second, expected: time.Millisecond})
--- a/pkg/fanout/types.go
+++ b/pkg/fanout/types.go
@@ -50,6 +50,9 @@
 type Deps interface {
 	// Pick chooses an upstream of the service that is not in tried.
 	Pick(service string, tried []Upstream) (Upstream, bool)
+	// AvailableIn returns the time until an upstream of the service may be sent the
+	// request, or false if none may be in time.
+	AvailableIn(service string) (time.Duration, bool)
 	// MaxUpstreams returns the number of upstreams that an attempt may reach: one,
 	// or more when a peer sends the attempt and may hedge it.
 	MaxUpstreams(u Upstream) int
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -239,13 +239,20 @@
 // Pick returns the index of the candidate with the lowest cost, or -1 when all are
 // excluded. The search begins at first, so that equal candidates share the work.
 func Pick(candidates []*Stats, now time.Time, penalty RemotePenalty, first int, excluded func(i int) bool) int {
+	return PickDelayed(candidates, now, penalty, first, func(i int) (time.Duration, bool) { return 0, !excluded(i) })
+}
+
+// PickDelayed is Pick for candidates that may be sent a request only after a delay, which
+// adds to their cost, or not at all.
+func PickDelayed(candidates []*Stats, now time.Time, penalty RemotePenalty, first int, delay func(i int) (d time.Duration, ok bool)) int {
 	best, bestCost := -1, time.Duration(0)
 	for k := range candidates {
 		i := (first + k) % len(candidates)
-		if excluded(i) {
+		d, ok := delay(i)
+		if !ok {
 			continue
 		}
-		cost := candidates[i].Cost(now, penalty)
+		cost := candidates[i].Cost(now, penalty) + d
 		if best < 0 || float64(cost) < float64(bestCost)*switchRatio {
 			best, bestCost = i, cost
 		}
--- a/pkg/quota/limit.go
+++ b/pkg/quota/limit.go
@@ -1,7 +1,3 @@
-// Package quota describes the rate of requests that an upstream accepts from all nodes
-// together, as it states it in its answers:
-//
-//	rate, ok := reply.Limit.Rate()
 package quota
 
 import "math"
