front, relay: ask again before the send whether a request crashes upstreams

Cause: the verdict is asked when a request arrives. One that then waits for a slot is sent whatever has been learned meanwhile; one that comes under suspicion is not sent alone. The relay asks before its queue in the same way.

Change: both paths ask after the wait too. A suspect on the product's own path gives its slot back and waits until it can run alone.

Evidence: TestRequestQuarantinedWhileItWaitsIsNotSent of both packages fails before.

--- a/internal/front/dispatcher.go
+++ b/internal/front/dispatcher.go
@@ -89,10 +89,9 @@
 func (d *dispatcher) do(ctx context.Context, shardReq *peer.ShardRequest) peer.ShardReply {
 	enqueued := time.Now()
 	d.lastUsed.Store(enqueued.UnixNano())
-	deadline, _ := ctx.Deadline()
-	ticket := gate.NewTicket(d.front.nextID.Add(1), shardReq.Priority, shardReq.Workspace, deadline, shardReq.Solo)
-	if rejection, ok := d.gate.Acquire(ctx, ticket); !ok {
-		return peer.ShardReply{Cause: causeOf(rejection.Reason), Unsent: true, RetryAfter: rejection.RetryAfter}
+	ticket, rejected := d.acquire(ctx, shardReq)
+	if rejected != nil {
+		return *rejected
 	}
 	sent := time.Now()
 	d.front.counter.sent.Add(1)
@@ -106,6 +105,27 @@
 	return reply
 }
 
+// acquire waits for a slot. The request may become known to crash upstreams meanwhile, or
+// suspected of it: it is then rejected, or waits again until it can run alone.
+func (d *dispatcher) acquire(ctx context.Context, shardReq *peer.ShardRequest) (gate.Ticket, *peer.ShardReply) {
+	deadline, _ := ctx.Deadline()
+	for {
+		solo := shardReq.Solo
+		ticket := gate.NewTicket(d.front.nextID.Add(1), shardReq.Priority, shardReq.Workspace, deadline, solo)
+		if rejection, ok := d.gate.Acquire(ctx, ticket); !ok {
+			return ticket, &peer.ShardReply{Cause: causeOf(rejection.Reason), Unsent: true, RetryAfter: rejection.RetryAfter}
+		}
+		rejected, isRejected := d.front.checkPoison(shardReq)
+		if !isRejected && solo == shardReq.Solo {
+			return ticket, nil
+		}
+		d.gate.Release(ticket, 0, gate.OutcomeCanceled)
+		if isRejected {
+			return ticket, &rejected
+		}
+	}
+}
+
 func (d *dispatcher) begin(id uint64, f poison.Fingerprint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -153,3 +154,32 @@
 		t.Errorf("runs of another request = %d, want 1", runs.Load())
 	}
 }
+
+// A request that becomes known to crash upstreams while it waits for a slot must not be sent.
+func TestRequestQuarantinedWhileItWaitsIsNotSent(t *testing.T) {
+	var runs atomic.Int64
+	release, running := make(chan struct{}), make(chan struct{}, 2)
+	s := upstream(t, func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		running <- struct{}{}
+		<-release
+	})
+	f, tracker := newFront(t, s.Listener.Addr().String())
+	var others sync.WaitGroup
+	for i := range 2 {
+		others.Go(func() { f.Do(t.Context(), newShardRequest(poison.Fingerprint(10+i))) })
+	}
+	<-running
+	<-running
+	waiting := make(chan peer.ShardReply, 1)
+	go func() { waiting <- f.Do(t.Context(), newShardRequest(5)) }()
+	time.Sleep(50 * time.Millisecond)
+	for _, crash := range []string{"a/1", "b/1"} {
+		tracker.RecordCrash(crash, time.Now(), []poison.Run{{Fingerprint: 5}})
+	}
+	close(release)
+	others.Wait()
+	if got := <-waiting; !got.Unsent || got.Cause != search.CauseQuarantined || runs.Load() != 2 {
+		t.Errorf("Do() = %+v with %d runs, want %v and the 2 of others", got, runs.Load(), search.CauseQuarantined)
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -138,6 +138,10 @@
 		}
 		return attemptDone{attempt: a, notRun: true, unsent: true, cause: "dial", err: err}, gate.OutcomeCanceled
 	}
+	if r.Blocked() {
+		u.pool.Release(c)
+		return attemptDone{attempt: a, notRun: true, unsent: true, cause: "quarantined"}, gate.OutcomeCanceled
+	}
 	if !a.setConn(c) || !r.permits.acquire() {
 		u.pool.Release(c)
 		return attemptDone{attempt: a, notRun: true, unsent: true, cause: "finished"}, gate.OutcomeCanceled
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -91,6 +91,36 @@
 	}
 }
 
+// A request that becomes known to crash upstreams while it waits for a slot must not be sent.
+func TestRequestQuarantinedWhileItWaitsIsNotSent(t *testing.T) {
+	up := newFakeUpstream(t, "up-a")
+	hold := make(chan struct{})
+	up.setHandler(func(w http.ResponseWriter, _ *http.Request) {
+		<-hold
+		_, _ = fmt.Fprintf(w, "%-16s", up.id)
+	})
+	e := newEngine(t, []*vhost.Route{singleRoute("svc", true)}, up.entry("svc"))
+	const slots = queueFactor * 2
+	var others sync.WaitGroup
+	for i := range slots {
+		others.Go(func() { e.Do(context.Background(), requestTo("single", fmt.Sprintf("/%d", i), fmt.Sprintf("o-%d", i))) })
+	}
+	for up.runs.Load() < slots {
+		time.Sleep(time.Millisecond)
+	}
+	answer := make(chan proto.Answer, 1)
+	go func() { answer <- e.Do(context.Background(), requestTo("single", "/crash", "c-1")) }()
+	time.Sleep(50 * time.Millisecond)
+	for i := range 2 {
+		e.tracker.RecordCrash(fmt.Sprintf("u%d/1", i), time.Now(), []poison.Run{{Fingerprint: fingerprintOf(requestTo("single", "/crash", ""))}})
+	}
+	close(hold)
+	others.Wait()
+	if got := proto.Kind(<-answer); got != "refused" || up.runs.Load() != slots {
+		t.Errorf("answer = %s with %d runs, want refused and the %d of others", got, up.runs.Load(), slots)
+	}
+}
+
 // Requests of other callers, to other paths or with other bodies are not equal to the
 // one that crashes upstreams.
 func TestOnlyEqualRequestsAreRejected(t *testing.T) {
