platform: a store that comes back from an older copy

Its revisions go back and are given out again; the operator and the servers write again what was lost, and what this system wrote is gone. The header Store-Era rises by one each time.

Cause: nothing read the header. A list of the restored store looked older than what nodes had and was ignored, changes at revisions that were given out again were never noticed, and quarantines that the copy lacked were not saved again.

Change: a revision holds the era above the store's own revision (follow.At), so that it only rises and a watch of another era lists again. The directory of upstreams then keeps what the copy lacks as after an outage, and takes from it neither an older state nor a removed incarnation. Nodes save their quarantines again; those that read the store also save those of nodes that may have ended. Logs show the store's own revision.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -138,7 +138,7 @@
 	d.mesh = mesh.New(self, l, packets, d.state, link.Dial,
 		mesh.WithSeeds(d.settings.Peers), mesh.WithFirstStart(d.settings.FirstStart), mesh.WithLog(d.log), mesh.WithChanged(d.membersChanged),
 		mesh.WithService(relay.GatherService, d.engine.Gatherer()), mesh.WithEvidence(d.crashes), mesh.WithLimits(d.engine.LearnLimit))
-	d.state.publish, d.state.bestStoreAge = d.mesh.Publish, d.mesh.BestStoreAge
+	d.state.publish, d.state.bestStoreAge, d.state.restored = d.mesh.Publish, d.mesh.BestStoreAge, d.storeRestored
 	return nil
 }
 
@@ -160,6 +160,20 @@
 	}
 }
 
+// storeRestored saves the quarantines again that the store may have lost. The nodes that
+// read the store also save those of nodes that may have ended.
+func (d *Daemon) storeRestored() {
+	if d.keeper == nil {
+		return
+	}
+	if d.mesh.ReadsStore() {
+		for _, f := range d.crashes.Quarantined() {
+			d.keeper.Save(f)
+		}
+	}
+	d.keeper.SaveAgain()
+}
+
 // membersChanged divides the budget, the connections and the limits of upstreams among
 // all known nodes, and selects the gatherers, which send shard requests for the other
 // nodes. Dead nodes still count for the budget, because what they spent is still within
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -51,6 +51,8 @@
 	// updates it receives, has obtained.
 	publish      func(t follow.Topic, b follow.Batch)
 	bestStoreAge func() time.Duration
+	// restored is called when the store has been restored from an older copy.
+	restored func()
 
 	mu        sync.Mutex
 	directory *fleet.Directory
@@ -62,6 +64,7 @@
 		s.views[t] = follow.NewView()
 	}
 	s.publish = func(follow.Topic, follow.Batch) {}
+	s.restored = func() {}
 	s.bestStoreAge = s.StoreAge
 	return s
 }
@@ -91,27 +94,50 @@
 func (s *state) apply(t follow.Topic, b follow.Batch) ([]follow.Change, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before, loaded := s.views[t].Position()
 	changes, ok := s.views[t].Apply(b)
+	restored := false
+	if ok && loaded {
+		restored = s.noteEra(t, before, b.Revision)
+	}
 	if !ok || len(changes) == 0 {
 		return nil, ok
 	}
 	if t == follow.Routes {
 		s.applyRoutes(changes, b.Revision)
-	} else if s.applyUpstreams(changes) {
+	} else if s.applyUpstreams(changes, restored) {
 		s.updateEngine(b.Revision)
 	}
 	return changes, true
 }
 
+// noteEra reports whether the store has been restored from an older copy between two
+// revisions of a topic. mu must be held.
+func (s *state) noteEra(t follow.Topic, before, after uint64) bool {
+	old, _ := follow.Era(before)
+	now, revision := follow.Era(after)
+	if now <= old {
+		return false
+	}
+	s.log.WithFields(logrus.Fields{"topic": t.String(), "era": now, "revision": revision}).
+		Warn("tier: store was restored from an older copy.")
+	if t == follow.Upstreams {
+		s.directory.Step(fleet.Restored{})
+		s.restored()
+	}
+	return true
+}
+
 // applyRoutes must be called with mu held.
 func (s *state) applyRoutes(changes []follow.Change, revision uint64) {
+	_, own := follow.Era(revision)
 	for _, c := range changes {
 		ev, ok := s.decode(follow.Routes, c)
 		routes, isRoutes := ev.(follow.NewRoutes)
 		if !ok || !isRoutes || !s.engine.SetRoutes(routes.Snapshot) {
 			continue
 		}
-		s.log.WithFields(logrus.Fields{"version": routes.Snapshot.Version(), "revision": revision, "routes": len(routes.Snapshot.Routes())}).
+		s.log.WithFields(logrus.Fields{"version": routes.Snapshot.Version(), "revision": own, "routes": len(routes.Snapshot.Routes())}).
 			Info("tier: routes applied.")
 	}
 }
@@ -125,8 +151,8 @@
 }
 
 // applyUpstreams passes changes to the directory and reports whether the entries
-// have changed. mu must be held.
-func (s *state) applyUpstreams(changes []follow.Change) bool {
+// have changed. Old changes are those of an older copy of the store. mu must be held.
+func (s *state) applyUpstreams(changes []follow.Change, old bool) bool {
 	changed := false
 	for _, c := range changes {
 		ev, ok := s.decode(follow.Upstreams, c)
@@ -135,7 +161,7 @@
 		}
 		switch ev := ev.(type) {
 		case follow.UpstreamUpdated:
-			changed = s.directory.Step(fleet.Updated{Entry: ev.Entry}) || changed
+			changed = s.directory.Step(fleet.Updated{Entry: ev.Entry, Old: old}) || changed
 		case follow.UpstreamRemoved:
 			changed = s.directory.Step(fleet.Removed{ID: ev.ID}) || changed
 		case follow.NewRoutes:
@@ -148,13 +174,14 @@
 func (s *state) updateEngine(revision uint64) {
 	entries := s.directory.Entries()
 	s.engine.SetUpstreams(entries)
+	_, own := follow.Era(revision)
 	draining := 0
 	for _, e := range entries {
 		if e.Draining() {
 			draining++
 		}
 	}
-	s.log.WithFields(logrus.Fields{"upstreams": len(entries), "draining": draining, "revision": revision}).
+	s.log.WithFields(logrus.Fields{"upstreams": len(entries), "draining": draining, "revision": own}).
 		Info("tier: upstreams applied.")
 }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -60,8 +60,8 @@
 	Deleted bool   `msgpack:"g,omitempty"`
 }
 
-// Batch is a list of changes that leads from the revision From to Revision. If
-// Full is set, Changes lists all objects of the topic and replaces earlier state.
+// Batch is a list of changes that leads from the revision From to Revision, which are made
+// by At. If Full is set, Changes lists all objects of the topic and replaces earlier state.
 type Batch struct {
 	Changes  []Change `msgpack:"c"`
 	Full     bool     `msgpack:"w,omitempty"`
@@ -69,6 +69,24 @@
 	Revision uint64   `msgpack:"v"`
 }
 
+// eraShift is the position of the era in a revision. A store does not reach as many changes
+// within an era.
+const eraShift = 44
+
+// At returns the revision of a batch from the store's own revision and its era. The store
+// counts again from a lower revision when it has been restored from an older copy, which
+// begins a new era. The result only rises.
+func At(era, revision uint64) uint64 { return era<<eraShift | revision }
+
+// Era returns the era of a revision of At, and the store's own revision.
+func Era(at uint64) (era, revision uint64) { return at >> eraShift, at & (1<<eraShift - 1) }
+
+// ownRevision returns the store's own revision, for logs.
+func ownRevision(at uint64) uint64 {
+	_, revision := Era(at)
+	return revision
+}
+
 // Source reads the store. Its calls return when the context is done.
 type Source interface {
 	// List returns all objects of a topic.
@@ -82,7 +100,7 @@
 }
 
 // ErrCompacted reports that the store no longer holds the change history that a
-// watch needs.
+// watch needs, or that it has been restored from an older copy.
 var ErrCompacted = errors.New("the store no longer holds the change history; list again")
 
 // Sink receives the results of a follower. Its methods are called by one goroutine
@@ -196,7 +214,7 @@
 	case ctx.Err() != nil:
 		return 0
 	case errors.Is(err, ErrCompacted):
-		f.log.WithFields(logrus.Fields{"topic": f.topic.String(), "revision": revision}).
+		f.log.WithFields(logrus.Fields{"topic": f.topic.String(), "revision": ownRevision(revision)}).
 			Warn("follow: change history is no longer in the store; listing again.")
 		f.relist = true
 		return 0
@@ -235,7 +253,7 @@
 	f.failures++
 	if !f.failing {
 		f.failing = true
-		f.log.WithFields(logrus.Fields{"topic": f.topic.String(), "revision": revision, "error": err.Error()}).
+		f.log.WithFields(logrus.Fields{"topic": f.topic.String(), "revision": ownRevision(revision), "error": err.Error()}).
 			Warn("follow: store is unavailable.")
 	}
 	f.sink.Failed(f.topic, err)
@@ -250,5 +268,5 @@
 		return
 	}
 	f.failing = false
-	f.log.WithFields(logrus.Fields{"topic": f.topic.String(), "revision": revision}).Info("follow: store is available again.")
+	f.log.WithFields(logrus.Fields{"topic": f.topic.String(), "revision": ownRevision(revision)}).Info("follow: store is available again.")
 }
--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -95,6 +95,16 @@
 	}
 }
 
+// SaveAgain saves all quarantines of this node again soon, because the store may have lost
+// their records.
+func (k *Keeper) SaveAgain() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for f := range k.savedAt {
+		k.savedAt[f] = time.Time{}
+	}
+}
+
 // Run loads all records and then saves those of this node until the context is done.
 func (k *Keeper) Run(ctx context.Context) error {
 	delay := loadDelay
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -80,11 +80,16 @@
 // ColdUntil returns until when the upstream is slow after its start.
 func (e Entry) ColdUntil() time.Time { return e.coldUntil }
 
-// Event is an input of Step: Updated, Removed, Listed, Unavailable, Available or Tick.
+// Event is an input of Step: Updated, Removed, Listed, Unavailable, Available, Restored or
+// Tick.
 type Event interface{ event() }
 
-// Updated delivers an entry that is new or changed.
-type Updated struct{ Entry Entry }
+// Updated delivers an entry that is new or changed. Old is set if it comes from the copy
+// that the registry was restored from, and may have been replaced or removed since.
+type Updated struct {
+	Entry Entry
+	Old   bool
+}
 
 // Removed reports that the registry has removed an entry.
 type Removed struct{ ID string }
@@ -98,6 +103,10 @@
 // Available reports that the registry can be reached again.
 type Available struct{}
 
+// Restored reports that the registry was restored from an older copy. What was written since
+// then is written again, as after an outage.
+type Restored struct{}
+
 // Tick reports that the time returned by Wake has passed.
 type Tick struct{}
 
@@ -106,6 +115,7 @@
 func (Listed) event()      {}
 func (Unavailable) event() {}
 func (Available) event()   {}
+func (Restored) event()    {}
 func (Tick) event()        {}
 
 const (
@@ -121,6 +131,8 @@
 	// minMassRemoval is the minimum number of removals that counts as a mass
 	// removal.
 	minMassRemoval = 4
+	// maxRemoved bounds the removed incarnations that are remembered.
+	maxRemoved = 4096
 )
 
 // Directory holds the entries of the registry. It is not safe for concurrent use.
@@ -130,6 +142,9 @@
 	unavailable bool
 	outageEnd   time.Time // end of the last outage, observed or detected by a mass removal
 	removals    []removal
+	// removed holds the start of the incarnation of each upstream that the registry
+	// has removed, so that an older copy does not bring it back.
+	removed map[string]int64
 }
 
 type removal struct {
@@ -139,7 +154,7 @@
 
 // New returns an empty Directory.
 func New() *Directory {
-	return &Directory{entries: make(map[string]Entry), missing: make(map[string]time.Time)}
+	return &Directory{entries: make(map[string]Entry), missing: make(map[string]time.Time), removed: make(map[string]int64)}
 }
 
 // Step applies one event and reports whether the entries have changed.
@@ -147,6 +162,9 @@
 	now := time.Now()
 	switch ev := ev.(type) {
 	case Updated:
+		if ev.Old && d.isOutdated(ev.Entry) {
+			return false
+		}
 		return d.handleUpdated(ev.Entry)
 	case Removed:
 		return d.handleRemoved(ev.ID, now)
@@ -158,18 +176,43 @@
 	case Available:
 		d.handleAvailable(now)
 		return false
+	case Restored:
+		d.unavailable = true
+		d.handleAvailable(now)
+		return false
 	case Tick:
 		return d.expire(now)
 	}
 	return false
 }
 
+// isOutdated reports whether more is known of the incarnation than an entry of an older copy
+// of the registry holds: its present entry, or that it has been removed.
+func (d *Directory) isOutdated(e Entry) bool {
+	if known, ok := d.entries[e.id]; ok {
+		return known.started >= e.started
+	}
+	started, removed := d.removed[e.id]
+	return removed && started >= e.started
+}
+
+// drop removes an entry and remembers its incarnation.
+func (d *Directory) drop(id string) {
+	if len(d.removed) >= maxRemoved {
+		clear(d.removed)
+	}
+	d.removed[id] = d.entries[id].started
+	delete(d.entries, id)
+	delete(d.missing, id)
+}
+
 func (d *Directory) handleUpdated(e Entry) bool {
 	old, known := d.entries[e.id]
 	if known && old.started > e.started && e.started != 0 {
 		return false
 	}
 	delete(d.missing, e.id)
+	delete(d.removed, e.id)
 	d.entries[e.id] = e
 	return !known || old != e
 }
@@ -183,8 +226,7 @@
 		d.retain(id, now)
 		return false
 	}
-	delete(d.entries, id)
-	delete(d.missing, id)
+	d.drop(id)
 	d.recordRemoval(e, now)
 	return true
 }
@@ -214,6 +256,7 @@
 	for _, r := range d.removals {
 		if _, present := d.entries[r.entry.id]; !present && !r.entry.draining {
 			d.entries[r.entry.id] = r.entry
+			delete(d.removed, r.entry.id)
 			d.retain(r.entry.id, now)
 		}
 	}
@@ -267,8 +310,7 @@
 		if now.Before(at) {
 			continue
 		}
-		delete(d.missing, id)
-		delete(d.entries, id)
+		d.drop(id)
 		changed = true
 	}
 	return changed
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -91,3 +91,47 @@
 		t.Errorf("entry = %+v, want %+v", got, restarted)
 	}
 }
+
+// An older copy of the registry must not undo a drain or a removal, and what it lacks must
+// be kept until it is written again.
+func TestOlderCopyOfTheRegistryUndoesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		entry := func(id string, opts ...Option) Entry {
+			return NewEntry(id, "svc", "10.0.0.1:80", append([]Option{WithStarted(1)}, opts...)...)
+		}
+		d := New()
+		for _, id := range []string{"drained", "removed", "restarted"} {
+			d.Step(Updated{Entry: entry(id)})
+		}
+		d.Step(Updated{Entry: entry("drained", WithDraining(true))})
+		d.Step(Removed{ID: "removed"})
+		d.Step(Updated{Entry: entry("restarted", WithStarted(2))})
+		d.Step(Updated{Entry: entry("new")})
+		d.Step(Restored{})
+		for _, id := range []string{"drained", "removed", "restarted"} {
+			if d.Step(Updated{Entry: entry(id), Old: true}) {
+				t.Errorf("old entry of %s changed the directory", id)
+			}
+		}
+		d.Step(Removed{ID: "new"})
+		want := map[string]Entry{"drained": entry("drained", WithDraining(true)), "restarted": entry("restarted", WithStarted(2)), "new": entry("new")}
+		if got := d.Entries(); len(got) != len(want) {
+			t.Fatalf("entries = %v, want %v", got, want)
+		}
+		for _, e := range d.Entries() {
+			if e != want[e.ID()] {
+				t.Errorf("entry of %s = %v, want %v", e.ID(), e, want[e.ID()])
+			}
+		}
+		if !d.Step(Updated{Entry: entry("removed")}) {
+			t.Error("an entry that its upstream has written again is ignored")
+		}
+		time.Sleep(settleTime)
+		d.Step(Tick{})
+		for _, e := range d.Entries() {
+			if e.ID() == "new" {
+				t.Error("an entry that is not written again is kept")
+			}
+		}
+	})
+}
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -354,6 +354,17 @@
 	delete(t.claimed, f)
 }
 
+// Quarantined returns the fingerprints that are quarantined.
+func (t *Tracker) Quarantined() []Fingerprint {
+	var list []Fingerprint
+	for _, f := range t.records.Keys() {
+		if t.Verdict(f) == Quarantined {
+			list = append(list, f)
+		}
+	}
+	return list
+}
+
 // Counts returns the number of suspect and of quarantined fingerprints.
 func (t *Tracker) Counts() (suspects, quarantined int) {
 	for _, f := range t.records.Keys() {
