soak: a store that comes back from an older copy

The kind restore takes a copy, lets 0.5 to 3 s pass, and restores it; a second later the lost objects of servers and of the operator are written again.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -38,6 +38,7 @@
 	{"link", impairLinks}, {"calls", impairCalls},
 	{"crash-request", sendCrashingRequest}, {"crash-herd", crashHerd},
 	{"ending-request", sendEndingRequest}, {"limit", limitServer},
+	{"restore", restoreStore},
 }
 
 func (e *testEnv) randomNode() *node { return e.nodes[e.random.IntN(len(e.nodes))] }
@@ -157,6 +158,19 @@
 	return activeFault{planned: true, end: func() {}}
 }
 
+// restoreStore makes the store come back from a copy that is some seconds old. The operator
+// and the servers write again what was lost.
+func restoreStore(e *testEnv) activeFault {
+	old := e.store.Copy()
+	time.Sleep(e.randomDuration(500*time.Millisecond, 3*time.Second))
+	lost := e.store.Copy()
+	e.store.Restore(old)
+	return activeFault{duration: time.Second, end: func() {
+		e.store.WriteAgain(lost, "servers", old)
+		e.store.WriteAgain(lost, "config", old)
+	}}
+}
+
 func impairServerLink(e *testEnv) activeFault {
 	s := e.randomServer()
 	l := randomLinkState(e)
--- a/soak/main.go
+++ b/soak/main.go
@@ -35,7 +35,7 @@
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of seeds to run, one after the other"},
 			&cli.DurationFlag{Name: "duration", Value: 30 * time.Second, Usage: "how long to inject faults for each seed"},
 			&cli.IntFlag{Name: "nodes", Value: 4, Usage: "number of node processes"},
-			&cli.IntFlag{Name: "kinds", Value: len(faults), Usage: "number of fault kinds to draw from, in their fixed order; 14 omits link and calls, 16 crash-request and crash-herd, 18 ending-request and limit, to reproduce seeds that ran without them"},
+			&cli.IntFlag{Name: "kinds", Value: len(faults), Usage: "number of fault kinds to draw from, in their fixed order; 14 omits link and calls, 16 crash-request and crash-herd, 18 ending-request, limit and restore, to reproduce seeds that ran without them"},
 			&cli.StringFlag{Name: "keep", Usage: "directory in which to keep the logs of the nodes"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
