relay: watches of silent attempts do not hold the request's messages

An attempt's watch for silence ran its time out after the answer had come, and kept the request and its responses in memory for a second or more. It now holds what a report needs, and ends with the answer. The log of a limit also shows this node's present part instead of one without the other nodes. Tests of internal/relay and pkg/quota pass.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -152,7 +152,9 @@
 	}
 	silence := r.watchSilence(u, start)
 	res, wrote, err := c.Exchange(r.req, r.encode(u, start), r.engine.dialect)
-	silence.ended.Store(!wrote || err == nil || closedByUpstream(err))
+	if !wrote || err == nil || closedByUpstream(err) {
+		silence.end()
+	}
 	if a.setConn(nil) {
 		u.pool.Release(c)
 	} else {
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -89,41 +89,48 @@
 }
 
 // silence reports an attempt as unanswered if neither it nor anything else sent to its
-// upstream has had a response for the limit.
+// upstream has had a response for the limit. It does not hold the request's messages.
 type silence struct {
 	engine *Engine
-	run    *run
 	u      *upstream
-	sent   time.Time
+	run    crash.Run
 	limit  time.Duration
-	ended  atomic.Bool
+	// until is when the attempt no longer matters.
+	until time.Time
+	timer *time.Timer
+	ended atomic.Bool
 }
 
-// watchSilence watches an attempt that has just been sent. The caller must set ended when
-// there is a response, or the connection has broken.
+// watchSilence watches an attempt that has just been sent.
 func (r *run) watchSilence(u *upstream, sent time.Time) *silence {
-	s := &silence{engine: r.engine, run: r, u: u, sent: sent, limit: crash.SilentAfter}
+	s := &silence{engine: r.engine, u: u, run: r.newCrashRun(sent), limit: crash.SilentAfter, until: r.plan.Deadline.Add(crash.SilentAfter)}
 	if r.cautious {
 		s.limit = crash.SuspectSilentAfter
 	}
-	time.AfterFunc(s.limit, s.check)
+	s.timer = time.AfterFunc(s.limit, s.check)
 	return s
 }
 
+// end ends the watch, because there is a response or the connection has broken.
+func (s *silence) end() {
+	s.ended.Store(true)
+	s.timer.Stop()
+}
+
 func (s *silence) check() {
 	if s.ended.Load() || s.engine.baseCtx.Err() != nil {
 		return
 	}
 	now := time.Now()
-	if due := s.u.crash.watch.SilentSince(s.sent).Add(s.limit); now.Before(due) {
-		if now.Before(s.run.plan.Deadline.Add(crash.SilentAfter)) {
+	since := s.u.crash.watch.SilentSince(s.run.Sent)
+	if due := since.Add(s.limit); now.Before(due) {
+		if now.Before(s.until) {
 			time.AfterFunc(due.Sub(now), s.check)
 		}
 		return
 	}
-	run := s.run.newCrashRun(s.sent)
-	run.Ended = s.u.crash.watch.SilentSince(s.sent)
-	s.engine.stepCrash(s.u, crash.Unanswered{Run: run})
+	s.run.Ended = since
+	s.engine.stepCrash(s.u, crash.Unanswered{Run: s.run})
 }
 
 // stepCrash passes an event to the watch of the upstream, and has its actions executed.
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -42,7 +42,7 @@
 func (e *Engine) logLimit(u *upstream, l quota.Limit, source string) {
 	fields := logrus.Fields{"upstream": u.entry.ID(), "service": u.entry.Service(), "source": source}
 	if rate, ok := l.Rate(); ok {
-		fields["limit_per_s"], fields["part_per_s"] = rate, u.quota.Part()
+		fields["limit_per_s"], fields["part_per_s"] = rate, u.quota.Part(e.quotaNodes.Load())
 		e.log.WithFields(fields).Info("relay: upstream limits its requests.")
 		return
 	}
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -80,9 +80,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := time.Now()
-	changed := u.set(l, now)
-	told := u.toldAt
-	if !changed && now.Sub(told) < newsInterval {
+	if changed := u.set(l, now); !changed && now.Sub(u.toldAt) < newsInterval {
 		return false
 	}
 	u.toldAt = now
@@ -114,20 +112,14 @@
 	return wasLimited != (l.kind == at) || l.kind == at && math.Abs(l.rate-old.rate) > newsTolerance*old.rate
 }
 
-// Current returns the limit in force and when it was stated.
-func (u *Upstream) Current() (l Limit, statedAt time.Time) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.limit, u.statedAt
-}
-
 // Limited reports whether a limit is in force.
 func (u *Upstream) Limited() bool { return u.limited.Load() }
 
 // Part returns this node's part of the limit, in requests per second.
-func (u *Upstream) Part() float64 {
+func (u *Upstream) Part(nodes *Nodes) float64 {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.refill(nodes, time.Now())
 	return u.part
 }
 
