relay: Retry-After of a limit is when a turn comes

What callers saw: a request that the limits of all upstreams did not allow was rejected with a Retry-After of 0.1 s, whenever a turn would come, and mostly rejected again.

Cause: admission derives the delay from the queues at upstreams, and a service that may be sent nothing in time has no estimate.

Change: the delay is at least the time after which the request would find a turn at this node.

--- a/internal/relay/do.go
+++ b/internal/relay/do.go
@@ -102,7 +102,12 @@
 			expected = append(expected, d)
 		}
 	}
-	return admit.Decide(expected, r.plan.MinAnswered, r.plan.SoftDeadline.Sub(now))
+	decision := admit.Decide(expected, r.plan.MinAnswered, r.plan.SoftDeadline.Sub(now))
+	if reject, ok := decision.(admit.Reject); ok {
+		reject.RetryAfter = max(reject.RetryAfter, r.nextTurn())
+		return reject
+	}
+	return decision
 }
 
 // answer converts the outcome of the fan-out to the answer for the caller.
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -58,6 +58,33 @@
 	return shortest, ok
 }
 
+// nextTurn returns the time after which the request would find a turn in time at an upstream
+// of one of its services that all limit their requests, or 0 if there is none. A node that
+// has no part of the limits does not know, and returns defaultRetryAfter.
+func (r *run) nextTurn() time.Duration {
+	nodes, left := r.engine.quotaNodes.Load(), r.timeLeft()
+	next := time.Duration(0)
+	for _, service := range r.plan.Services {
+		p, ok := r.directory.byService[service]
+		if !ok {
+			continue
+		}
+		if _, open := r.shortestWait(p); open {
+			continue
+		}
+		earliest := defaultRetryAfter
+		for i, u := range p.upstreams {
+			if late := u.quota.Late(nodes, r.route.Priority(), left); late > 0 && (i == 0 || late < earliest) {
+				earliest = late
+			}
+		}
+		if next == 0 || earliest < next {
+			next = earliest
+		}
+	}
+	return next
+}
+
 // expected returns the estimated time to an answer of the service. It returns false if none
 // of its upstreams may be sent the request in time.
 func (r *run) expected(service string, now time.Time) (time.Duration, bool) {
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -135,6 +135,21 @@
 	return u.turn(nodes, p, left, 0)
 }
 
+// Late returns by how much the next turn is too late for a request that Reserve refuses, or 0
+// if this node may not send to the upstream.
+func (u *Upstream) Late(nodes *Nodes, p prio.Priority, left time.Duration) time.Duration {
+	wait, ok := u.turn(nodes, p, left, 0)
+	if ok || wait == 0 {
+		return 0
+	}
+	return wait - allowedWait(p, left)
+}
+
+// allowedWait returns how long a request of the priority with the time left may wait.
+func allowedWait(p prio.Priority, left time.Duration) time.Duration {
+	return time.Duration(waitShare[p] * float64(max(left, 0)))
+}
+
 func (u *Upstream) turn(nodes *Nodes, p prio.Priority, left time.Duration, tokens float64) (wait time.Duration, ok bool) {
 	if !u.limited.Load() {
 		return 0, true
@@ -148,7 +163,7 @@
 		return 0, false
 	}
 	wait = time.Duration(max(1-u.tokens, 0) / u.part * float64(time.Second))
-	if wait > max(time.Duration(waitShare[p]*float64(left)), 0) {
+	if wait > allowedWait(p, left) {
 		return wait, false
 	}
 	u.tokens -= tokens
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -223,3 +223,25 @@
 		}
 	})
 }
+
+// The time by which a turn is too late is when a request that is refused would get one.
+func TestRefusedRequestFindsATurnWhenItIsToldTo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const left = 500 * time.Millisecond
+		u := New("i-1/17", "d0")
+		u.Heard(At(2))
+		for {
+			if _, ok := u.Reserve(nil, prio.Urgent, left); !ok {
+				break
+			}
+		}
+		late := u.Late(nil, prio.Urgent, left)
+		if late <= 0 || late > time.Second {
+			t.Fatalf("Late() = %v, want a time of at most a second", late)
+		}
+		time.Sleep(late)
+		if _, ok := u.Reserve(nil, prio.Urgent, left); !ok {
+			t.Errorf("Reserve() after %v = false, want a turn", late)
+		}
+	})
+}
