soak: readiness is checked without callers

Cause, from the log of n3: the soak checks a node's readiness only when one of its callers is about to send. At the stop all three were waiting for searches that took 2,480 ms (calls between nodes were lost), so that no check was made in the 1.5 s between "not ready" and the end of the listener, and the node was still in rotation.

Change: each node is polled every 500 ms on its own. The checks of the soak are unchanged.

--- a/soak/main.go
+++ b/soak/main.go
@@ -119,6 +119,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var callers sync.WaitGroup
 	for i, n := range e.nodes {
+		callers.Go(func() { n.pollReadiness(ctx) })
 		for k := range callersPerNode {
 			callers.Go(func() { e.runCaller(ctx, n, o.seed*1000+uint64(i*callersPerNode+k)) })
 		}
--- a/soak/node.go
+++ b/soak/node.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,13 +36,13 @@
 	readyAddr  string
 	storeProxy *proxy
 
-	mu           sync.Mutex
-	process      *exec.Cmd
-	exited       chan struct{}
-	shouldRun    bool // whether the process is meant to run
-	failedChecks int
-	excluded     bool // from the rotation of the load balancer
-	checkedAt    time.Time
+	// excluded reports whether the load balancer sends no callers to the node.
+	excluded atomic.Bool
+
+	mu        sync.Mutex
+	process   *exec.Cmd
+	exited    chan struct{}
+	shouldRun bool // whether the process is meant to run
 }
 
 func newNode(e *testEnv, name, zone string) (*node, error) {
@@ -155,26 +157,20 @@
 	return res.StatusCode == http.StatusOK
 }
 
-// inRotation reports whether the load balancer sends callers to the node. It checks
-// readiness every 500 ms and excludes a node after two failed checks.
-func (n *node) inRotation() bool {
-	n.mu.Lock()
-	due := time.Since(n.checkedAt) > 500*time.Millisecond
-	if due {
-		n.checkedAt = time.Now()
-	}
-	n.mu.Unlock()
-	if due {
-		ok := n.ready()
-		n.mu.Lock()
-		n.failedChecks++
-		if ok {
-			n.failedChecks = 0
+// checkInterval is how often the load balancer checks the readiness of a node.
+const checkInterval = 500 * time.Millisecond
+
+// pollReadiness performs the readiness checks of the load balancer until the context is
+// done. It excludes the node from the rotation after two failed checks.
+func (n *node) pollReadiness(ctx context.Context) {
+	for failed := 0; ctx.Err() == nil; time.Sleep(checkInterval) {
+		failed++
+		if n.ready() {
+			failed = 0
 		}
-		n.excluded = n.failedChecks >= 2
-		n.mu.Unlock()
+		n.excluded.Store(failed >= 2)
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return !n.excluded
 }
+
+// inRotation reports whether the load balancer sends callers to the node.
+func (n *node) inRotation() bool { return !n.excluded.Load() }
--- a/soak/node_test.go
+++ b/soak/node_test.go
@@ -1,8 +1,13 @@
 package main
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
 	"os/exec"
+	"sync"
 	"testing"
+	"time"
 )
 
 // A planned stop must not be reported as an unexpected exit if the next process is
@@ -35,3 +40,20 @@
 		t.Errorf("violations = %d, first %q, want none", len(found), found[0])
 	}
 }
+
+// A node that stops must leave the rotation although all its callers wait for slow responses
+// and send nothing (seed 6002).
+func TestRotationDoesNotDependOnCallers(t *testing.T) {
+	notReady := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }))
+	defer notReady.Close()
+	n := &node{readyAddr: notReady.Listener.Addr().String()}
+	ctx, cancel := context.WithCancel(context.Background())
+	var polls sync.WaitGroup
+	polls.Go(func() { n.pollReadiness(ctx) })
+	time.Sleep(3 * checkInterval)
+	if n.inRotation() {
+		t.Error("inRotation() of a node that is not ready = true, want false")
+	}
+	cancel()
+	polls.Wait()
+}
