quota: rank nodes with the hash of pkg/route; plain wording in five comments

pkg/quota had a second copy of the rendezvous hash. It now uses route.Weight, so that nodes are ranked in another order than before, by the same rule. Tests of both packages pass.

--- a/internal/mesh/limits_test.go
+++ b/internal/mesh/limits_test.go
@@ -8,8 +8,8 @@
 	"geraniumstep.org/geraniumstep/pkg/quota"
 )
 
-// What one node hears of a limit must reach all nodes, of which most send the upstream
-// nothing and would not hear of its end.
+// News of a limit must reach all nodes. Most of them send the upstream nothing and would not
+// learn of the end of the limit from its answers.
 func TestNewsOfLimitsReachAllNodes(t *testing.T) {
 	var nodes []*Mesh
 	var received []*atomic.Int64
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -57,7 +57,7 @@
 	// quarantined is called when this node quarantines a request.
 	quarantined func(poison.Fingerprint)
 	// quotaNodes are the nodes that divide the limits of upstreams, and shareLimit
-	// tells them what an upstream has stated.
+	// sends them what an upstream has stated.
 	quotaNodes atomic.Pointer[quota.Nodes]
 	shareLimit func(quota.News)
 	// reachable reports whether anything but upstreams has been heard of since a time.
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -15,8 +15,8 @@
 // SetQuotaNodes sets the nodes that divide the limits of upstreams.
 func (e *Engine) SetQuotaNodes(n *quota.Nodes) { e.quotaNodes.Store(n) }
 
-// heardLimit records what an answer states about the upstream's limit, and tells the other
-// nodes if it is new.
+// heardLimit records what an answer states about the upstream's limit, and sends it to the
+// other nodes if it is new.
 func (e *Engine) heardLimit(u *upstream, l quota.Limit) {
 	if !u.quota.Heard(l) {
 		return
--- a/pkg/crash/crash_test.go
+++ b/pkg/crash/crash_test.go
@@ -17,7 +17,7 @@
 	takes time.Duration
 	// heard lists when the upstream responds to other requests.
 	heard []time.Duration
-	// connected reports whether this node hears of anything else.
+	// connected reports whether anything else responds to this node.
 	connected bool
 	// probes counts the probes.
 	probes int
--- a/pkg/quota/nodes.go
+++ b/pkg/quota/nodes.go
@@ -1,6 +1,6 @@
 package quota
 
-import "github.com/cespare/xxhash/v2"
+import "geraniumstep.org/geraniumstep/pkg/route"
 
 // nearShare is the share of a limit that the nodes in the upstream's failure domain have.
 // They send most of its requests.
@@ -9,7 +9,7 @@
 // Node is one node of the tier.
 type Node struct{ VM, Domain string }
 
-// Nodes is an immutable list of the nodes that divide the limits, as one of them knows it.
+// Nodes is an immutable list of the nodes that divide the limits, from the view of one of them.
 type Nodes struct {
 	self Node
 	list []Node
@@ -42,7 +42,7 @@
 		return place{near: 1, isNear: true}
 	}
 	p := place{isNear: n.self.Domain == domain}
-	own := score(name, n.self.VM)
+	own := route.Weight(name, n.self.VM)
 	for _, node := range n.list {
 		isNear := node.Domain == domain
 		if isNear {
@@ -50,23 +50,13 @@
 		} else {
 			p.far++
 		}
-		if s := score(name, node.VM); isNear == p.isNear && (s > own || s == own && node.VM < n.self.VM) {
+		if s := route.Weight(name, node.VM); isNear == p.isNear && (s > own || s == own && node.VM < n.self.VM) {
 			p.rank++
 		}
 	}
 	return p
 }
 
-// score ranks the nodes for an upstream, differently for each upstream.
-func score(name, vm string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(name)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(vm)
-	return d.Sum64()
-}
-
 // minNear and minFar are the numbers of senders of a group beside one for each request per
 // second that it may send. One request of each sender at the same moment must be within what
 // an upstream accepts in a second or two.
--- a/pkg/route/owner.go
+++ b/pkg/route/owner.go
@@ -11,7 +11,7 @@
 		score uint64
 	)
 	for _, n := range nodes {
-		s := weight(resource, n)
+		s := Weight(resource, n)
 		if best == "" || s > score || s == score && n < best {
 			best, score = n, s
 		}
@@ -19,7 +19,8 @@
 	return best
 }
 
-func weight(resource, node string) uint64 {
+// Weight ranks the nodes for a resource by rendezvous hashing: the highest is first.
+func Weight(resource, node string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(node)
