relay: an answer of another instance is no sign of life

Found by reading: an address may pass to another server while an entry is still listed. Its 421 counted as a sign of life of the server that had ended there, and could clear or withdraw the crash that a request had caused.

Change: an answer that names another instance is not counted as heard from the upstream, and says nothing about its limit (as before). The package comment of pkg/poison describes presumption, doubt and explanation.

Evidence: TestAnswerOfAnotherInstanceIsNoSignOfLife fails before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -196,8 +196,8 @@
 		}
 		return attemptDone{attempt: a, cause: "broken", broken: broken, err: err}, gate.OutcomeCanceled
 	}
-	r.engine.heardFrom(a.upstream)
 	if !res.Reply().Moved {
+		r.engine.heardFrom(a.upstream)
 		r.engine.heardLimit(a.upstream, res.Reply().Limit)
 	}
 	if res.Reply().HasLoad {
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -238,6 +238,20 @@
 	}
 }
 
+// An answer of another instance at the address of an upstream is no sign of life of it.
+func TestAnswerOfAnotherInstanceIsNoSignOfLife(t *testing.T) {
+	up := newFakeUpstream(t, "up-b")
+	gone := fleet.NewEntry("up-a", "svc", up.addr, fleet.WithSlots(2), fleet.WithStarted(1))
+	e := newEngine(t, []*vhost.Route{singleRoute("svc", true)}, gone)
+	start := time.Now()
+	req := request("single", "r-1")
+	req.Remaining = 300 * time.Millisecond
+	e.Do(context.Background(), req)
+	if got := e.upstreams.Load().byID["up-a"].crash.watch.SilentSince(start); !got.Equal(start) {
+		t.Errorf("last sign of life = %v after the start, want none", got.Sub(start))
+	}
+}
+
 // A caller that disconnects before its request crashes the upstream must not hide it.
 func TestCrashAfterCallerDisconnectsIsRecorded(t *testing.T) {
 	up := newFakeUpstream(t, "up-a")
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -9,6 +9,11 @@
 // after the crash of the trial before: crashes at the same moment, such as those of a
 // failure domain or of all shards of one search, are one trial.
 //
+// A crash that is only presumed never counts as that of an only suspect, nor against a
+// proven fingerprint, and can be withdrawn. A trial without a result yet is doubted; two of
+// them hold the fingerprint. A crash does not count against a suspect if another one of it
+// has crashed more upstreams, which explains it.
+//
 //	t := poison.New()
 //	reports := t.RecordCrash("seat-finder-3-a/1", crashedAt, inFlight)
 //	switch t.Verdict(fingerprint) { case poison.Quarantined: … }
@@ -228,8 +233,9 @@
 }
 
 // RecordCrash records a crash at the given time with the requests in flight and
-// returns the reports that other nodes should merge. Proven fingerprints are excluded, unless they ran
-// alone. The crash is identified by the upstream and the start time of its process.
+// returns the reports that other nodes should merge. Proven fingerprints are excluded,
+// unless they ran alone. The crash is identified by the upstream and the start time of its
+// process.
 func (t *Tracker) RecordCrash(crash string, at time.Time, inFlight []Run) []Report {
 	return t.record(Report{Kind: Crashed, Crash: crash}, at, inFlight)
 }
