relay: a request that ends servers ends one or two, not one of each shard

Cause, from a log of all requests: the requests that end servers differ in their callers only. A fingerprint holds the caller, so each was a new request, and a new search reaches one server of each shard, and some of their twins by hedges, before the first crash shows (54 to 97 ms after the send; the leader was 2 ms ahead). With both servers of three shards gone, no search had enough shards, and attempts at servers known to be gone took the rest.

Change - pkg/poison: requests that differ only in their caller have a content, whose trials count together. It is quarantined if requests of two callers have crashed upstreams and none has completed since; any success ends that at all nodes. One caller's request still counts for itself. - pkg/poison, alert: raised while there are searches under which upstreams crashed in the last 10 s and that have not completed since. - pkg/canary: one decision for both paths, when a search waits for one shard request. On the platform only during an alert (setting canary); serve as before, always. - pkg/fanout: the canary, a second one beside a slow first, trials that leave the last upstream of a shard alone, no hedge of a search without any answer in the first half of its time, and no waiting for a shard that is down if the answer suffices without it. - internal/relay: upstreams that are proven to have ended, here or by another node's report, get no requests; a search that cannot be answered without them is rejected at once, with the measured time from a crash to the successor as Retry-After.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"geraniumstep.org/geraniumstep/internal/relay"
 	"geraniumstep.org/geraniumstep/internal/setup"
 	"geraniumstep.org/geraniumstep/internal/tasks"
+	"geraniumstep.org/geraniumstep/pkg/canary"
 	"geraniumstep.org/geraniumstep/pkg/gather"
 	"geraniumstep.org/geraniumstep/pkg/life"
 	"geraniumstep.org/geraniumstep/pkg/member"
@@ -98,11 +99,16 @@
 		opt(d)
 	}
 	b := settings.Budget
+	mode, ok := canary.ParseMode(settings.Canary)
+	if !ok {
+		return nil, fmt.Errorf("canary is %q; write never, on_alert or always", settings.Canary)
+	}
 	d.engine = relay.New(dialect,
 		relay.WithLog(d.log),
 		relay.WithLocality(settings.FailureDomain, settings.Regions),
 		relay.WithBudget(retry.WithRatio(b.Ratio), retry.WithAllowance(b.Allowance), retry.WithWindow(b.Window)),
 		relay.WithMemory(int64(messageMemoryRatio*float64(settings.MemoryMB)*(1<<20))),
+		relay.WithCanary(mode),
 		relay.WithCrashes(d.crashes, d.shareCrashes),
 		relay.WithQuarantined(d.saveQuarantine),
 		relay.WithReachable(d.heardSince),
@@ -137,7 +143,7 @@
 	d.self = self
 	d.mesh = mesh.New(self, l, packets, d.state, link.Dial,
 		mesh.WithSeeds(d.settings.Peers), mesh.WithFirstStart(d.settings.FirstStart), mesh.WithLog(d.log), mesh.WithChanged(d.membersChanged),
-		mesh.WithService(relay.GatherService, d.engine.Gatherer()), mesh.WithEvidence(d.crashes), mesh.WithLimits(d.engine.LearnLimit))
+		mesh.WithService(relay.GatherService, d.engine.Gatherer()), mesh.WithEvidence(crashEvidence{Tracker: d.crashes, engine: d.engine}), mesh.WithLimits(d.engine.LearnLimit))
 	d.state.publish, d.state.bestStoreAge, d.state.restored = d.mesh.Publish, d.mesh.BestStoreAge, d.storeRestored
 	return nil
 }
--- a/internal/node/deps.go
+++ b/internal/node/deps.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"geraniumstep.org/geraniumstep/pkg/canary"
 	"geraniumstep.org/geraniumstep/pkg/layout"
 	"geraniumstep.org/geraniumstep/pkg/poison"
 	"geraniumstep.org/geraniumstep/pkg/prio"
@@ -72,12 +73,15 @@
 	return run.node.random.Backoff(retry)
 }
 
-// Verdict returns the verdict of the node's crash tracker on a fingerprint. With
-// canaries disabled it returns Proven instead of Novel, so that the search sends its
-// shard requests at once, without a canary first.
+// Verdict returns the verdict of the node's crash tracker on a fingerprint. It returns
+// Proven instead of Novel if the search need not wait for a canary.
 func (run *searchRun) Verdict(f poison.Fingerprint) poison.Verdict {
 	v := run.node.tracker.Verdict(f)
-	if v == poison.Novel && !run.node.settings.Routing.Canary {
+	mode := canary.Always
+	if !run.node.settings.Routing.Canary {
+		mode = canary.Never
+	}
+	if _, waits := canary.Decide(mode, canary.Search{Verdict: v}).(canary.Await); !waits {
 		return poison.Proven
 	}
 	return v
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -134,6 +134,7 @@
 	if err != nil {
 		u.stats.Failed()
 		if errors.Is(err, syscall.ECONNREFUSED) {
+			u.down.mark(time.Now(), refusedTime)
 			r.engine.stepCrash(u, crash.DialRefused{})
 		}
 		return attemptDone{attempt: a, notRun: true, unsent: true, cause: "dial", err: err}, gate.OutcomeCanceled
@@ -192,6 +193,7 @@
 		stats.Failed()
 		broken := closedByUpstream(err)
 		if broken {
+			a.upstream.down.doubt(time.Now())
 			r.engine.stepCrash(a.upstream, crash.Broke{Run: r.newCrashRun(time.Now().Add(-took))})
 		}
 		return attemptDone{attempt: a, cause: "broken", broken: broken, err: err}, gate.OutcomeCanceled
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -33,9 +33,8 @@
 	mu      sync.Mutex
 	watch   *crash.Watch
 	running bool
-	// presumed holds the fingerprints of the requests under which the upstream is
-	// presumed to have crashed.
-	presumed []poison.Fingerprint
+	// presumed holds the requests under which the upstream is presumed to have crashed.
+	presumed []poison.Run
 	// wake is signaled when the watch has new events.
 	wake chan struct{}
 }
@@ -49,7 +48,7 @@
 
 // newCrashRun returns the run's attempt that was sent at the given time.
 func (r *run) newCrashRun(sent time.Time) crash.Run {
-	return crash.Run{Fingerprint: r.fingerprint, Request: r.req.ID, Sent: sent, Ended: time.Now()}
+	return crash.Run{Fingerprint: r.fingerprint, Request: r.req.ID, Sent: sent, Ended: time.Now(), Spread: r.gather, Content: r.content}
 }
 
 // hasSucceededSince reports whether an equal request has completed since the run was sent.
@@ -74,6 +73,7 @@
 func (e *Engine) heardFrom(u *upstream) {
 	now := time.Now()
 	u.crash.watch.Heard(now)
+	u.down.clear()
 	e.lastHeard.Store(&heard{from: u, at: now})
 }
 
@@ -204,16 +204,18 @@
 		e.share(e.tracker.RecordDoubt(id, earliestEnd(a.Runs), poisonRuns(a.Runs)))
 	case crash.Cleared:
 		e.logCrash(u, a.Runs, "alive")
-		e.share(e.tracker.EndDoubt(id, fingerprints(a.Runs)))
+		u.down.settle()
+		e.share(e.tracker.EndDoubt(id, poisonRuns(a.Runs)))
 	case crash.Ended:
 		at, runs := earliestEnd(a.Runs), poisonRuns(a.Runs)
 		if a.Presumed {
 			e.logCrash(u, a.Runs, "presumed_crashed")
-			u.crash.presumed = fingerprints(a.Runs)
+			u.crash.presumed = poisonRuns(a.Runs)
 			e.recordCrash(u, e.tracker.RecordPresumedCrash(id, at, runs))
 			return
 		}
 		e.logCrash(u, a.Runs, "crashed")
+		u.down.mark(time.Now(), crashedTime)
 		e.recordCrash(u, e.tracker.RecordCrash(id, at, runs))
 	case crash.Withdrawn:
 		e.log.WithFields(logrus.Fields{"upstream": u.entry.ID(), "service": u.entry.Service()}).
@@ -227,12 +229,12 @@
 // upstreams is being sent to one, so that no other node tries it meanwhile.
 func (r *run) announceTrial(u *upstream) {
 	now := time.Now()
-	r.engine.share(r.engine.tracker.RecordDoubt(u.incarnation(), now, []poison.Run{{Fingerprint: r.fingerprint, Sent: now}}))
+	r.engine.share(r.engine.tracker.RecordDoubt(u.incarnation(), now, []poison.Run{r.poisonRun(now)}))
 }
 
 // endTrial reports that the upstream has not run the request.
 func (r *run) endTrial(u *upstream) {
-	r.engine.share(r.engine.tracker.EndDoubt(u.incarnation(), []poison.Fingerprint{r.fingerprint}))
+	r.engine.share(r.engine.tracker.EndDoubt(u.incarnation(), []poison.Run{r.poisonRun(time.Time{})}))
 }
 
 // logCrash logs what is known of the upstream of requests without a response.
@@ -241,7 +243,7 @@
 	fields := logrus.Fields{"upstream": u.entry.ID(), "service": u.entry.Service(), "outcome": outcome}
 	for _, s := range runs {
 		e.log.WithFields(fields).WithFields(logrus.Fields{
-			"request": s.Request, "fingerprint": formatFingerprint(s.Fingerprint), "in_flight": len(runs),
+			"request": s.Request, "fingerprint": formatFingerprint(s.Fingerprint), "content": formatFingerprint(s.Content), "in_flight": len(runs),
 			"ran_ms": s.Ended.Sub(s.Sent).Milliseconds(), "canceled": s.Canceled,
 		}).Info("relay: upstream has not responded to a request.")
 	}
@@ -275,17 +277,13 @@
 func poisonRuns(runs []crash.Run) []poison.Run {
 	list := make([]poison.Run, len(runs))
 	for i, r := range runs {
-		list[i] = poison.Run{Fingerprint: r.Fingerprint, Sent: r.Sent, Canceled: r.Canceled}
+		list[i] = poison.Run{Fingerprint: r.Fingerprint, Sent: r.Sent, Canceled: r.Canceled, Spread: r.Spread, Content: r.Content}
 	}
 	return list
 }
 
-func fingerprints(runs []crash.Run) []poison.Fingerprint {
-	list := make([]poison.Fingerprint, len(runs))
-	for i, r := range runs {
-		list[i] = r.Fingerprint
-	}
-	return list
+func (r *run) poisonRun(sent time.Time) poison.Run {
+	return poison.Run{Fingerprint: r.fingerprint, Content: r.content, Sent: sent, Spread: r.gather}
 }
 
 // probe finds out on a new connection whether the upstream's process still responds. The
--- a/internal/relay/deps.go
+++ b/internal/relay/deps.go
@@ -51,11 +51,27 @@
 
 // Blocked implements fanout.Deps.
 func (r *run) Blocked() bool {
-	return r.engine.tracker.Verdict(r.fingerprint) == poison.Quarantined
+	return r.classify() == poison.Quarantined
 }
 
-// NextTrial implements fanout.Deps.
-func (r *run) NextTrial() time.Time { return r.engine.tracker.NextTrial(r.fingerprint) }
+// uncheckedInterval is how often it is reviewed whether upstreams have been checked.
+const uncheckedInterval = 20 * time.Millisecond
+
+// NextTrial implements fanout.Deps. A trial that is sent before it is known whether the
+// upstream of the last one has ended would not count.
+func (r *run) NextTrial() time.Time {
+	now := time.Now()
+	for _, u := range r.broken {
+		if u.down.isUncertain(now) && !u.down.isSet(now) {
+			return now.Add(uncheckedInterval)
+		}
+	}
+	next := r.engine.tracker.NextTrial(r.fingerprint)
+	if t := r.engine.tracker.NextTrial(r.content); t.After(next) && !r.isProven() {
+		return t
+	}
+	return next
+}
 
 // countFirst counts a first attempt by this node, which adds to the budget.
 func (r *run) countFirst(service string) { r.extraBudget().Count(service, 1) }
--- a/internal/relay/do.go
+++ b/internal/relay/do.go
@@ -51,7 +51,7 @@
 	if req.Remaining > 0 {
 		wait = min(wait, req.Remaining)
 	}
-	r := &run{engine: e, req: req, route: route, version: version, fingerprint: fingerprintOf(req), directory: e.upstreams.Load()}
+	r := &run{engine: e, req: req, route: route, version: version, fingerprint: fingerprintOf(req), content: contentOf(req), directory: e.upstreams.Load()}
 	r.plan = fanout.Plan{
 		MinAnswered:  1,
 		MaxAttempts:  max(route.MaxAttempts(), 1),
@@ -77,6 +77,11 @@
 	return poison.FingerprintOf(req.Body, req.Method, req.Host, req.Target, req.Caller)
 }
 
+// contentOf identifies requests that are equal but for their caller.
+func contentOf(req *proto.Request) poison.Fingerprint {
+	return poison.FingerprintOf(req.Body, req.Method, req.Host, req.Target)
+}
+
 // admitAndExecute executes the request, or rejects it if it cannot be served in time.
 func (r *run) admitAndExecute(ctx context.Context) proto.Answer {
 	now := time.Now()
@@ -105,6 +110,9 @@
 	decision := admit.Decide(expected, r.plan.MinAnswered, r.plan.SoftDeadline.Sub(now))
 	if reject, ok := decision.(admit.Reject); ok {
 		reject.RetryAfter = max(reject.RetryAfter, r.nextTurn())
+		if len(expected) < r.plan.MinAnswered && r.gather {
+			reject.RetryAfter = max(reject.RetryAfter, r.engine.backIn(r.plan.Services))
+		}
 		return reject
 	}
 	return decision
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -24,6 +24,7 @@
 	"geraniumstep.org/geraniumstep/internal/memory"
 	"geraniumstep.org/geraniumstep/internal/proto"
 	"geraniumstep.org/geraniumstep/internal/tasks"
+	"geraniumstep.org/geraniumstep/pkg/canary"
 	"geraniumstep.org/geraniumstep/pkg/crash"
 	"geraniumstep.org/geraniumstep/pkg/fleet"
 	"geraniumstep.org/geraniumstep/pkg/gate"
@@ -50,8 +51,14 @@
 	shardBudget *retry.Budget
 	splitter    *split.Splitter
 	lead        time.Duration
-	memory      *memory.Pool
-	tracker     *poison.Tracker
+	canaryMode  canary.Mode
+	// alerted is whether the last search found the alert raised.
+	alerted atomic.Bool
+	// restart is the average time from the crash of an upstream to its successor, in
+	// nanoseconds.
+	restart atomic.Int64
+	memory  *memory.Pool
+	tracker *poison.Tracker
 	// share sends crash reports to the other nodes.
 	share func([]poison.Report)
 	// quarantined is called when this node quarantines a request.
@@ -134,6 +141,10 @@
 // 2 ms.
 func WithLead(d time.Duration) Option { return func(e *Engine) { e.lead = d } }
 
+// WithCanary sets when unproven searches wait for the result of one shard request before
+// the others are sent. The default is canary.OnAlert.
+func WithCanary(m canary.Mode) Option { return func(e *Engine) { e.canaryMode = m } }
+
 // WithMemory sets how many bytes of callers' bodies and upstreams' responses the engine
 // holds at a time. The default is 64 MB.
 func WithMemory(bytes int64) Option { return func(e *Engine) { e.memory = memory.New(bytes) } }
@@ -156,10 +167,11 @@
 	e := &Engine{
 		dialect: d, log: logrus.NewEntry(logrus.StandardLogger()), dial: link.Dial,
 		budget: retry.New(), shardBudget: retry.New(), splitter: split.New(), metrics: newMetrics(),
-		lead: defaultLead, memory: memory.New(defaultMemoryBytes), tracker: poison.New(), share: func([]poison.Report) {}, quarantined: func(poison.Fingerprint) {},
+		lead: defaultLead, canaryMode: canary.OnAlert, memory: memory.New(defaultMemoryBytes), tracker: poison.New(), share: func([]poison.Report) {}, quarantined: func(poison.Fingerprint) {},
 		reachable: func(time.Time) bool { return false }, shareLimit: func(quota.News) {},
 	}
 	e.nodes.Store(1)
+	e.restart.Store(int64(initialRestart))
 	e.gatherers.Store(1)
 	e.baseCtx, e.stop = context.WithCancel(context.Background())
 	e.peers.Store(&peers{})
@@ -232,6 +244,7 @@
 		u, ok := old.byID[entry.ID()]
 		if !ok || !u.matches(entry) {
 			u = e.newUpstream(entry)
+			e.observeRestart(old, entry.Service())
 		}
 		next.byID[entry.ID()] = u
 		if entry.Draining() {
--- a/internal/relay/gathercall.go
+++ b/internal/relay/gathercall.go
@@ -29,6 +29,8 @@
 	Version  uint64        `msgpack:"v"`
 	// Fingerprint identifies equal requests of the same caller.
 	Fingerprint poison.Fingerprint `msgpack:"f"`
+	// Content identifies requests that differ only in their caller.
+	Content poison.Fingerprint `msgpack:"y,omitempty"`
 	// Cautious reports that the caller's node suspects the request of crashing
 	// upstreams.
 	Cautious bool `msgpack:"c,omitempty"`
--- a/internal/relay/gatherer.go
+++ b/internal/relay/gatherer.go
@@ -32,7 +32,7 @@
 	defer r.req.Memory.Close()
 	rejected, release := r.screen()
 	if rejected != nil {
-		reply.NotRun, reply.RetryAfter, reply.Crashes = true, rejected.RetryAfter, g.engine.tracker.ReportsOf(r.fingerprint)
+		reply.NotRun, reply.RetryAfter, reply.Crashes = true, rejected.RetryAfter, r.reports()
 		r.log(*rejected)
 		return nil
 	}
@@ -70,7 +70,7 @@
 		vhost.WithPriority(call.Priority), vhost.WithMaxAttempts(call.Attempts), vhost.WithIdempotent(true),
 		vhost.WithTimeout(call.Deadline), vhost.WithTarget(call.Soft))
 	return &run{
-		engine: e, req: req, route: route, version: call.Version, fingerprint: call.Fingerprint, directory: e.upstreams.Load(),
+		engine: e, req: req, route: route, version: call.Version, fingerprint: call.Fingerprint, content: call.Content, directory: e.upstreams.Load(),
 		gather: true, topK: call.TopK, hops: call.Hops, cautious: call.Cautious, led: call.Led,
 		plan: fanout.Plan{
 			Cautious: call.Cautious, Services: call.Services, MinAnswered: max(call.MinLegs, 1), MaxAttempts: max(call.Attempts, 1), Idempotent: true,
@@ -102,9 +102,12 @@
 		reply.Reached = append(reply.Reached, r.machine.Reached(i))
 	}
 	if reply.InDoubt = r.machine.InDoubt(); reply.InDoubt {
-		reply.Crashes = r.engine.tracker.ReportsOf(r.fingerprint)
+		reply.Crashes = r.reports()
 	}
 	reply.NotRun = r.permits.close() && len(reply.Legs) == 0
+	if reply.NotRun && r.machine.Unproven() {
+		reply.RetryAfter = r.retryAfter()
+	}
 	var answer proto.Answer = proto.Merged{Missing: len(r.plan.Services) - len(reply.Legs)}
 	if reply.NotRun {
 		answer = proto.Refused{}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -14,7 +14,10 @@
 	// quarantined counts requests that were rejected because equal ones have
 	// crashed upstreams.
 	quarantined prometheus.Counter
-	denied      prometheus.Counter
+	// canaries counts searches that waited for the result of a canary.
+	canaries prometheus.Counter
+	alerted  prometheus.Gauge
+	denied   prometheus.Counter
 	// limited counts attempts that the limits of upstreams did not allow in time.
 	limited  prometheus.Counter
 	latency  *prometheus.HistogramVec
@@ -40,6 +43,10 @@
 			Name: "geraniumstep_relay_memory_exhausted_total", Help: "Bodies of callers and responses of upstreams that were not read, because others hold all memory set aside for them."}),
 		quarantined: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "geraniumstep_relay_quarantined_total", Help: "Requests rejected because equal ones have crashed upstreams."}),
+		canaries: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "geraniumstep_relay_canaries_total", Help: "Unproven searches of which one shard request was sent alone first, because upstreams have crashed of late."}),
+		alerted: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "geraniumstep_relay_alerted", Help: "1 while upstreams have crashed of late under searches that have not completed since."}),
 		denied: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "geraniumstep_relay_extra_denied_total", Help: "Hedges and retries that the budget did not allow."}),
 		limited: prometheus.NewCounter(prometheus.CounterOpts{
@@ -54,5 +61,5 @@
 }
 
 func (m *metrics) all() []prometheus.Collector {
-	return []prometheus.Collector{m.requests, m.sends, m.failures, m.broken, m.exhausted, m.quarantined, m.denied, m.limited, m.latency, m.upstream, m.version}
+	return []prometheus.Collector{m.requests, m.sends, m.failures, m.broken, m.exhausted, m.quarantined, m.canaries, m.alerted, m.denied, m.limited, m.latency, m.upstream, m.version}
 }
--- a/internal/relay/peergroup.go
+++ b/internal/relay/peergroup.go
@@ -138,7 +138,7 @@
 	return &GatherCall{
 		ID: g.id, Request: r.req.ID, Route: r.route.Name(), Method: r.req.Method, Host: r.req.Host, Target: r.req.Target,
 		Header: r.endToEnd(), Body: r.req.Body, Services: g.services, TopK: r.topK, MinLegs: minLegs,
-		Attempts: r.plan.MaxAttempts, Priority: r.route.Priority(), Hops: r.hops + 1, Version: r.version, Fingerprint: r.fingerprint, Cautious: r.cautious, Led: r.plan.Lead > 0 || r.led,
+		Attempts: r.plan.MaxAttempts, Priority: r.route.Priority(), Hops: r.hops + 1, Version: r.version, Fingerprint: r.fingerprint, Content: r.content, Cautious: r.cautious, Led: r.plan.Lead > 0 || r.led || r.awaited,
 		Soft: soft.Sub(now), Deadline: r.plan.Deadline.Sub(now) - replyMargin,
 	}
 }
@@ -153,7 +153,7 @@
 		r.permits.release()
 		r.peerRetryAfter = max(r.peerRetryAfter, d.reply.RetryAfter)
 	}
-	r.engine.tracker.Merge(d.reply.Crashes)
+	r.engine.LearnCrashes(d.reply.Crashes)
 	g.applyReply(d, r.plan.Services)
 	if len(d.reply.Legs) > 0 {
 		r.recordSuccess()
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"geraniumstep.org/geraniumstep/pkg/canary"
 	"geraniumstep.org/geraniumstep/pkg/place"
 )
 
@@ -14,11 +15,11 @@
 	if !ok {
 		return nil
 	}
-	nodes, left := r.engine.quotaNodes.Load(), r.timeLeft()
+	nodes, left, now := r.engine.quotaNodes.Load(), r.timeLeft(), time.Now()
 	penalty := place.RemotePenaltyWithin(time.Until(r.plan.SoftDeadline))
-	i := place.PickDelayed(p.stats, time.Now(), penalty, rand.IntN(len(p.stats)), func(i int) (time.Duration, bool) {
+	i := place.PickDelayed(p.stats, now, penalty, rand.IntN(len(p.stats)), func(i int) (time.Duration, bool) {
 		u := p.upstreams[i]
-		if excluded(u) {
+		if excluded(u) || u.down.isSet(now) {
 			return 0, false
 		}
 		return u.quota.Wait(nodes, r.route.Priority(), left)
@@ -37,6 +38,25 @@
 	return time.Until(r.plan.Deadline)
 }
 
+// Down implements fanout.Deps.
+func (r *run) Down(service string) bool {
+	s, ok := r.engine.upstreams.Load().byService[service]
+	return ok && r.gather && s.live(time.Now()) == 0
+}
+
+// MayRisk implements fanout.Deps.
+func (r *run) MayRisk(service string, suspect bool) bool {
+	if !r.gather {
+		return true
+	}
+	d, now := r.engine.upstreams.Load(), time.Now()
+	s, ok := d.byService[service]
+	if !ok {
+		return false
+	}
+	return canary.MayRisk(s.shard(now), d.lost(r.plan.Services, now), suspect)
+}
+
 // AvailableIn implements fanout.Deps. A service without upstreams may get one at any time.
 func (r *run) AvailableIn(service string) (time.Duration, bool) {
 	p, ok := r.directory.byService[service]
@@ -89,7 +109,7 @@
 // of its upstreams may be sent the request in time.
 func (r *run) expected(service string, now time.Time) (time.Duration, bool) {
 	p, ok := r.directory.byService[service]
-	if !ok {
+	if !ok || r.gather && p.live(now) == 0 {
 		return 0, false
 	}
 	wait, ok := r.shortestWait(p)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -35,8 +35,12 @@
 	version uint64
 	// fingerprint identifies equal requests of the same caller.
 	fingerprint poison.Fingerprint
+	// content identifies requests that differ only in their caller.
+	content poison.Fingerprint
 	// led reports that another node has sent a leg of the search ahead of the others.
 	led bool
+	// awaited reports that the other legs wait for the result of a canary.
+	awaited bool
 	// cautious reports whether the request is suspected of crashing upstreams.
 	cautious  bool
 	directory *directory
@@ -53,6 +57,9 @@
 	attempts map[int]*attempt
 	parts    []*link.Response
 	failure  *link.Response
+	// broken holds the upstreams that closed a connection of the request without a
+	// response.
+	broken []*upstream
 	permits  sendPermits
 	// head is the part of the request that is the same for all upstreams,
 	// encoded once.
@@ -101,7 +108,7 @@
 	r.stopped = make(chan struct{})
 	defer close(r.stopped)
 	r.planGroups()
-	r.planLeader()
+	r.planCanary()
 	r.machine = fanout.New(r.plan, r)
 	timer := time.NewTimer(time.Until(r.plan.Deadline))
 	defer timer.Stop()
@@ -158,6 +165,9 @@
 		return fanout.Answered{Attempt: d.attempt.number}
 	}
 	r.lastCause = d.cause
+	if d.broken {
+		r.broken = append(r.broken, d.attempt.upstream)
+	}
 	if d.res != nil && d.res.Reply().Proof != "" && d.res.Status() >= http.StatusInternalServerError && !impliesNotRun(d.res.Status()) {
 		r.failure = d.res
 	}
--- a/internal/relay/screen.go
+++ b/internal/relay/screen.go
@@ -27,58 +27,81 @@
 // request has ended.
 func (r *run) screen() (rejected *proto.Refused, release func()) {
 	t := r.engine.tracker
-	verdict := t.Verdict(r.fingerprint)
-	if verdict != poison.Quarantined && t.Held(r.fingerprint) {
+	verdict := r.classify()
+	if verdict != poison.Quarantined && (t.Held(r.fingerprint) || t.Held(r.content) && !r.isProven()) {
 		r.verdict = "held"
 		return &proto.Refused{Reason: "an equal request may have crashed an upstream, and the result is awaited", RetryAfter: suspectRetryAfter}, nil
 	}
 	switch verdict {
 	case poison.Quarantined:
-		t.RecordRejection(r.fingerprint)
+		for _, f := range r.identities() {
+			if t.Verdict(f) == poison.Quarantined {
+				t.RecordRejection(f)
+			}
+		}
 		r.verdict = poison.Quarantined.String()
 		refused := r.quarantined()
 		return &refused, nil
 	case poison.Suspect:
-		if t.Succeeded(r.fingerprint, time.Time{}) {
+		if r.isProven() {
 			break // popular requests are in flight in most crashes
 		}
-		if !t.Claim(r.fingerprint) {
+		claim := r.fingerprint
+		if t.Verdict(r.content) == poison.Suspect {
+			claim = r.content
+		}
+		if !t.Claim(claim) {
 			r.verdict = poison.Suspect.String()
 			return &proto.Refused{Reason: "an equal request may have crashed an upstream and is being tried alone", RetryAfter: suspectRetryAfter}, nil
 		}
 		r.cautious, r.plan.Cautious = true, true
-		return nil, func() { t.Release(r.fingerprint) }
+		return nil, func() { t.Release(claim) }
 	case poison.Novel, poison.Proven:
 	}
 	return nil, func() {}
 }
 
-// planLeader chooses the leg of a new search that is sent before the others, so that a
-// search that crashes upstreams does not reach one of each shard at once. It is one with
-// an upstream in the local failure domain, where a crash shows soonest.
-func (r *run) planLeader() {
-	if !r.gather || r.led || r.engine.tracker.Verdict(r.fingerprint) != poison.Novel {
-		return
+// identities returns the fingerprints of the request and of its content.
+func (r *run) identities() []poison.Fingerprint {
+	return []poison.Fingerprint{r.fingerprint, r.content}
+}
+
+// isProven reports whether an equal request of the same caller has completed before.
+func (r *run) isProven() bool { return r.engine.tracker.Succeeded(r.fingerprint, time.Time{}) }
+
+// classify returns the verdict on the request. What crashed upstreams for other callers
+// counts too, unless an equal request of this caller has completed.
+func (r *run) classify() poison.Verdict {
+	t := r.engine.tracker
+	own := t.Verdict(r.fingerprint)
+	if own == poison.Quarantined || own == poison.Proven {
+		return own
 	}
-	n := len(r.plan.Services)
-	first := int(r.engine.tickets.Add(1) % uint64(max(n, 1)))
-	for k := range n {
-		i := (first + k) % n
-		service := r.plan.Services[i]
-		if r.pendingGroups[service] == nil && r.directory.isLocal(service) {
-			r.plan.Leader, r.plan.Lead = i, r.engine.lead
-			return
-		}
+	if v := t.Verdict(r.content); v == poison.Quarantined || v == poison.Suspect {
+		return v
+	}
+	return own
+}
+
+// reports returns the evidence against the request.
+func (r *run) reports() []poison.Report {
+	var list []poison.Report
+	for _, f := range r.identities() {
+		list = append(list, r.engine.tracker.ReportsOf(f)...)
 	}
+	return list
 }
 
 // quarantined returns the rejection of a request that is known to crash upstreams.
 func (r *run) quarantined() proto.Refused {
 	r.engine.metrics.quarantined.Inc()
-	return proto.Refused{
-		Reason:     "equal requests have crashed upstreams; do not send it again before the time in Retry-After",
-		RetryAfter: r.engine.tracker.Remaining(r.fingerprint),
+	refused := proto.Refused{Reason: "equal requests have crashed upstreams; do not send it again before the time in Retry-After"}
+	for _, f := range r.identities() {
+		if t := r.engine.tracker; t.Verdict(f) == poison.Quarantined {
+			refused.RetryAfter = max(refused.RetryAfter, t.Remaining(f))
+		}
 	}
+	return refused
 }
 
 // recordSuccess records that an upstream has run the request to its end.
@@ -87,7 +110,9 @@
 		return
 	}
 	r.succeeded = true
-	if reports := r.engine.tracker.RecordSuccess(r.fingerprint); len(reports) > 0 {
-		r.engine.share(reports)
+	for _, f := range r.identities() {
+		if reports := r.engine.tracker.RecordSuccess(f); len(reports) > 0 {
+			r.engine.share(reports)
+		}
 	}
 }
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -20,6 +20,7 @@
 	slots atomic.Int64
 	pool  *link.Pool
 	crash *crashCheck
+	down  downState
 	quota *quota.Upstream
 }
 
--- a/internal/setup/relay.go
+++ b/internal/setup/relay.go
@@ -9,6 +9,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/goccy/go-yaml"
+
+	"geraniumstep.org/geraniumstep/pkg/canary"
 )
 
 // Relay holds the settings of a relay node.
@@ -33,9 +35,12 @@
 	Capacity float64 `yaml:"capacity" validate:"min=0.001,max=100000"`
 	// MemoryMB is the memory available to the process in MB. The garbage collector
 	// runs more often as memory use approaches it.
-	MemoryMB int       `yaml:"memory_mb" validate:"min=32,max=1048576"`
-	Stop     RelayStop `yaml:"stop"`
-	Log      Log       `yaml:"log"`
+	MemoryMB int `yaml:"memory_mb" validate:"min=32,max=1048576"`
+	// Canary is when a search that has completed nowhere yet waits for the result of one
+	// shard request before the others are sent.
+	Canary string    `yaml:"canary" validate:"oneof=never on_alert always"`
+	Stop   RelayStop `yaml:"stop"`
+	Log    Log       `yaml:"log"`
 }
 
 // RelayListen holds the listen addresses of a relay node.
@@ -80,6 +85,7 @@
 		Budget:   RelayBudget{Ratio: 0.2, Allowance: 20, Window: 10 * time.Second, Nodes: 32},
 		Capacity: 1,
 		MemoryMB: 256,
+		Canary:   canary.OnAlert.String(),
 		Stop:     RelayStop{Grace: 6 * time.Second, Notice: 2500 * time.Millisecond},
 		Log:      Log{Level: "info", Format: "json"},
 	}
--- a/internal/setup/relay_test.go
+++ b/internal/setup/relay_test.go
@@ -38,6 +38,7 @@
 		{"no address to announce", "listen: {", "listen: {announce: here, ", "Announce"},
 		{"no path", "ready_path: /ready\n", "", "ReadyPath"},
 		{"notice beyond the grace", "grace: 6s", "grace: 2s", "shorten"},
+		{"unknown canary", "capacity", "canary: sometimes\ncapacity", "Canary"},
 		{"too little memory", "284", "1", "MemoryMB"},
 	}
 	for _, tt := range tests {
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -86,6 +86,9 @@
 	// Canceled reports that this node canceled it, so that the upstream may not
 	// have run it.
 	Canceled bool
+	// Spread and Content are those of poison.Run.
+	Spread  bool
+	Content poison.Fingerprint
 }
 
 // Event is an input of Step. Only Probed and Tick result in actions.
--- a/pkg/fanout/doubt.go
+++ b/pkg/fanout/doubt.go
@@ -17,6 +17,9 @@
 	// trial is the attempt of the trial in flight, if inTrial is set.
 	trial   int
 	inTrial bool
+	// broken reports that a connection broke before any upstream had run the request
+	// to its end.
+	broken bool
 	// pausedUntil is when the next trial may be sent, or zero. While the leader of
 	// the request is ahead, it is when the other legs may be sent.
 	pausedUntil time.Time
@@ -38,6 +41,7 @@
 	if wasTrial {
 		d.inTrial = false
 	}
+	d.broken = d.broken || ev.Broken && !d.resolved
 	switch {
 	case ev.Ran:
 		d.resolve()
@@ -75,6 +79,11 @@
 	return f.doubt.pausedUntil.IsZero() && !(f.doubt.active && f.doubt.inTrial)
 }
 
+// mayTry reports whether the leg may be sent although the request may crash the upstream.
+func (f *Fanout) mayTry(i int) bool {
+	return !f.doubt.active || f.deps.MayRisk(f.plan.Services[i], f.doubt.broken || f.plan.Cautious)
+}
+
 // hold makes the leg wait until it may be sent.
 func (f *Fanout) hold(i int) {
 	f.legs[i].held = true
@@ -91,6 +100,10 @@
 		f.failIfIdle()
 		return
 	}
+	if f.awaitsCanary() {
+		f.nextCanary(now)
+		return
+	}
 	f.holding = false
 	for i := range f.legs {
 		if !f.legs[i].held || f.legs[i].state != legOpen {
@@ -100,6 +113,10 @@
 			f.holding = true
 			return
 		}
+		if !f.mayTry(i) {
+			f.holding = true
+			continue
+		}
 		f.legs[i].held = false
 		if f.legs[i].sends == 0 {
 			f.startLeg(i, now)
@@ -107,6 +124,9 @@
 			f.retry(i, now)
 		}
 	}
+	if f.holding && f.doubt.active && f.maySend() {
+		f.failIfIdle()
+	}
 }
 
 // failIfIdle fails all open legs if no attempt is in flight.
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -31,6 +31,14 @@
 	// holding reports whether any leg may be held, and hedged whether a leg has been
 	// hedged.
 	holding, hedged bool
+	// halfTime is the middle between the start and the soft deadline.
+	halfTime time.Time
+	// canaries are the legs that may still be sent as a canary. secondCanary is when
+	// another one is sent beside one without a result, or zero.
+	canaries     []int
+	secondCanary time.Time
+	// tooRisky reports that a leg was no canary because of the risk to its service.
+	tooRisky bool
 }
 
 // leg is the state of the request to one service.
@@ -48,8 +56,9 @@
 	retryAt     time.Time
 	// sent reports whether an attempt may have reached an upstream.
 	sent bool
-	// held reports whether the leg waits until it may be sent.
-	held bool
+	// held reports whether the leg waits until it may be sent, and down that it waits
+	// for an upstream of a service of which all have ended.
+	held, down bool
 }
 
 type legState uint8
@@ -70,7 +79,8 @@
 func New(plan Plan, deps Deps) *Fanout {
 	return &Fanout{
 		plan: plan, deps: deps, legs: make([]leg, len(plan.Services)), openLegs: len(plan.Services),
-		doubt: doubt{active: plan.Cautious},
+		doubt:    doubt{active: plan.Cautious || len(plan.Canaries) > 0},
+		canaries: plan.Canaries, secondCanary: plan.SecondCanary,
 	}
 }
 
@@ -85,7 +95,11 @@
 
 // InDoubt reports whether upstreams closed connections without a response and none has
 // run the request to its end.
-func (f *Fanout) InDoubt() bool { return f.doubt.active }
+func (f *Fanout) InDoubt() bool { return f.doubt.active && (f.doubt.broken || f.plan.Cautious) }
+
+// Unproven reports whether the request waited for an upstream to run it to its end, and
+// none has.
+func (f *Fanout) Unproven() bool { return f.doubt.active }
 
 // Step applies one event and returns the actions that the caller must perform.
 // The slice is valid until the next call.
@@ -106,6 +120,7 @@
 		f.doubt.failed(ev, f.answered, now)
 		f.handleFailed(ev, now)
 	case Tick:
+		f.tickCanary(now)
 		for i := range f.legs {
 			f.tickLeg(i, now)
 		}
@@ -115,8 +130,10 @@
 	return f.actions
 }
 
-// start sends the legs, the leader first.
+// start sends the legs, the leader first, or the canary alone.
 func (f *Fanout) start(now time.Time) {
+	f.halfTime = now.Add(f.plan.SoftDeadline.Sub(now) / 2)
+	f.startCanary(now)
 	if f.plan.Lead > 0 && len(f.legs) > 1 {
 		f.startLeg(f.plan.Leader, now)
 		if f.legs[f.plan.Leader].sends > 0 {
@@ -124,7 +141,7 @@
 		}
 	}
 	for i := range f.legs {
-		if f.legs[i].sends == 0 {
+		if f.legs[i].sends == 0 && f.legs[i].state == legOpen {
 			f.startLeg(i, now)
 		}
 	}
@@ -132,7 +149,7 @@
 
 // startLeg sends the first attempt of a leg.
 func (f *Fanout) startLeg(i int, now time.Time) {
-	if !f.maySend() {
+	if !f.maySend() || !f.mayTry(i) {
 		f.hold(i)
 		return
 	}
@@ -158,7 +175,7 @@
 	l.tried = append(l.tried, u)
 	l.retryAt = time.Time{}
 	l.hedgeAt = time.Time{}
-	l.held = false
+	l.held, l.down = false, false
 	f.doubt.sent(n)
 	if f.plan.Idempotent && f.canSendMore(l) {
 		f.scheduleHedge(i, now.Add(f.deps.HedgeAfter(u)), now)
@@ -216,7 +233,7 @@
 		f.failLeg(i)
 		return
 	}
-	if !f.maySend() {
+	if !f.maySend() || !f.mayTry(i) {
 		f.hold(i)
 		return
 	}
@@ -251,6 +268,7 @@
 		f.failLeg(i)
 		return
 	}
+	f.legs[i].down = f.deps.Down(f.plan.Services[i])
 	f.legs[i].retryAt = now.Add(max(wait, retryInterval))
 }
 
@@ -296,11 +314,11 @@
 	l := &f.legs[i]
 	service := f.plan.Services[i]
 	u, ok := f.deps.Pick(service, l.tried)
-	if ok && f.mustAwaitHedge() {
+	if ok && f.mustAwaitHedge(now) {
 		l.hedgeAt = now.Add(hedgeInterval)
 		return
 	}
-	if !ok || !f.maySend() || !f.spendHedge(service, u, l.hedgeReason) {
+	if !ok || !f.maySend() || !f.mayTry(i) || !f.spendHedge(service, u, l.hedgeReason) {
 		f.scheduleHedge(i, now.Add(retryInterval), now)
 		return
 	}
@@ -308,11 +326,11 @@
 	f.send(i, u, l.hedgeReason, now)
 }
 
-// mustAwaitHedge reports whether a search without any answer has been hedged already. If
-// it crashes the upstreams that run it, further hedges would reach the last replicas; if
-// not, an answer comes soon.
-func (f *Fanout) mustAwaitHedge() bool {
-	return f.hedged && len(f.legs) > 1 && f.answered == 0 && !f.doubt.resolved
+// mustAwaitHedge reports whether a search without any answer must not be hedged yet. If it
+// crashes the upstreams that run it, hedges would reach the last replicas; if not, an answer
+// comes soon. One hedge is sent in the second half of the time to the soft deadline.
+func (f *Fanout) mustAwaitHedge(now time.Time) bool {
+	return (f.hedged || now.Before(f.halfTime)) && len(f.legs) > 1 && f.answered == 0 && !f.doubt.resolved
 }
 
 // spendHedge takes a hedge from the budget. A hedge to an unreliable upstream may
@@ -330,7 +348,7 @@
 	switch {
 	case f.openLegs == 0 && f.answered == len(f.legs):
 		f.finish(OutcomeComplete)
-	case f.answered >= f.plan.MinAnswered && (f.openLegs == 0 || !now.Before(f.plan.SoftDeadline)):
+	case f.answered >= f.plan.MinAnswered && (f.openLegs == f.downLegs() || !now.Before(f.plan.SoftDeadline)):
 		f.finish(OutcomePartial)
 	case f.answered+f.openLegs < f.plan.MinAnswered:
 		f.finish(OutcomeFailed)
@@ -339,6 +357,18 @@
 	}
 }
 
+// downLegs returns the number of open legs whose services have no live upstream. An answer
+// that is sufficient without them does not wait for them.
+func (f *Fanout) downLegs() int {
+	n := 0
+	for i := range f.legs {
+		if f.legs[i].state == legOpen && f.legs[i].down && len(f.legs[i].inFlight) == 0 {
+			n++
+		}
+	}
+	return n
+}
+
 func (f *Fanout) finish(o Outcome) {
 	f.done = true
 	for i := range f.legs {
@@ -356,6 +386,9 @@
 		wake = earlier(wake, f.plan.SoftDeadline)
 	}
 	wake = earlier(wake, f.doubt.pausedUntil)
+	if f.awaitsCanary() {
+		wake = earlier(wake, f.secondCanary)
+	}
 	for i := range f.legs {
 		if f.legs[i].state != legOpen {
 			continue
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -16,6 +16,8 @@
 	unreliable   bool
 	blocked      bool
 	nextTrial    time.Time
+	// down holds the services without a live upstream, and last those with a single one.
+	down, last map[string]bool
 	// exhausted reports that no upstream may be sent a request in time.
 	exhausted bool
 	// speculative counts the calls of SpendSpeculative.
@@ -23,7 +25,7 @@
 }
 
 func (d *fakeDeps) Pick(service string, tried []Upstream) (Upstream, bool) {
-	if d.none || len(tried) >= 2 {
+	if d.none || d.down[service] || len(tried) >= 2 {
 		return nil, false
 	}
 	return service + string(rune('a'+len(tried))), true
@@ -35,6 +37,10 @@
 
 func (d *fakeDeps) Blocked() bool { return d.blocked }
 
+func (d *fakeDeps) Down(service string) bool { return d.down[service] }
+
+func (d *fakeDeps) MayRisk(service string, _ bool) bool { return !d.last[service] }
+
 func (d *fakeDeps) NextTrial() time.Time { return d.nextTrial }
 
 func (d *fakeDeps) HedgeAfter(Upstream) time.Duration { return d.hedgeAfter }
@@ -115,13 +121,18 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := New(plan(8, 4), &fakeDeps{hedgeAfter: 30 * time.Millisecond, expected: 10 * time.Millisecond, budget: 8})
 		f.Step(Start{})
-		hedges := 0
-		for end := time.Now().Add(100 * time.Millisecond); time.Now().Before(end); {
+		start, half := time.Now(), time.Until(f.plan.SoftDeadline)/2
+		hedges, early := 0, 0
+		for time.Since(start) < half+50*time.Millisecond {
 			time.Sleep(time.Until(f.Wake()))
-			hedges += len(sends(f.Step(Tick{})))
+			n := len(sends(f.Step(Tick{})))
+			hedges += n
+			if time.Since(start) < half {
+				early += n
+			}
 		}
-		if want := 1; hedges != want {
-			t.Errorf("hedges before any answer = %d, want %d", hedges, want)
+		if want := 1; hedges != want || early != 0 {
+			t.Errorf("hedges before any answer = %d, %d of them in the first half, want %d and 0", hedges, early, want)
 		}
 		f.Step(Answered{Attempt: 0})
 		time.Sleep(hedgeInterval)
--- a/pkg/fanout/types.go
+++ b/pkg/fanout/types.go
@@ -36,6 +36,12 @@
 	// earlier. If its connection breaks within that time, the others wait.
 	Lead   time.Duration
 	Leader int
+	// Canaries lists the legs of an unproven search of which one is sent alone until an
+	// upstream has run it to its end, the preferred ones first. If it is empty, the legs
+	// do not wait for each other. From SecondCanary on, one more is sent beside a first
+	// that has no result.
+	Canaries     []int
+	SecondCanary time.Time
 	// SoftDeadline is when an answer must be sent to meet the latency target.
 	// From then on the request ends as soon as MinAnswered legs have answered.
 	SoftDeadline time.Time
@@ -70,6 +76,11 @@
 	// budget allowed it.
 	SpendSpeculative(service string) bool
 	SpendNeeded(service string) bool
+	// Down reports whether the service has upstreams and all of them have ended.
+	Down(service string) bool
+	// MayRisk reports whether a request that may crash upstreams, or has if suspect is
+	// set, may be sent to one of the service.
+	MayRisk(service string, suspect bool) bool
 	// Blocked reports whether the request is known to crash upstreams, so that
 	// it must not be sent to another one.
 	Blocked() bool
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -18,6 +18,11 @@
 //	reports := t.RecordCrash("seat-finder-3-a/1", crashedAt, inFlight)
 //	switch t.Verdict(fingerprint) { case poison.Quarantined: … }
 //
+// Equal requests of several callers have a content fingerprint in common. It has trials and
+// successes of its own, and is quarantined only if requests of two callers have crashed
+// upstreams and none has completed since: a request may crash upstreams for one caller and
+// be proper for another.
+//
 // Reports are small and idempotent. Nodes send them to each other and pass the
 // received ones to Merge.
 package poison
@@ -67,6 +72,11 @@
 	// Canceled reports that the call was canceled shortly before the crash, so that
 	// the upstream may or may not have run it.
 	Canceled bool
+	// Spread reports that the request was sent to other upstreams too.
+	Spread bool
+	// Content identifies requests that differ only in their caller, or is 0. Their
+	// crashes count together, beside those of each caller.
+	Content Fingerprint
 }
 
 const (
@@ -92,6 +102,7 @@
 
 	mu      sync.Mutex
 	claimed map[Fingerprint]bool
+	alert   alert
 }
 
 // Option configures a Tracker at construction.
@@ -140,10 +151,11 @@
 func (t *Tracker) Verdict(f Fingerprint) Verdict {
 	proven := t.proven.Contains(f)
 	trials, alone := t.count(f)
-	if trials >= crashesToConvict || trials >= crashesAlone && alone && !proven {
+	r, all := t.recordOf(f)
+	if (trials >= crashesToConvict || trials >= crashesAlone && alone && !proven) && !r.oneCaller() {
 		return Quarantined
 	}
-	if _, all := t.recordOf(f); all > 0 {
+	if all > 0 {
 		return Suspect
 	}
 	if proven {
@@ -254,21 +266,20 @@
 
 // EndDoubt records that the doubt whether an upstream has crashed under the requests is
 // resolved: it has not, or it did not run them.
-func (t *Tracker) EndDoubt(crash string, fingerprints []Fingerprint) []Report {
-	return t.mergeEach(Report{Kind: Withdrawn, Crash: crash}, fingerprints)
+func (t *Tracker) EndDoubt(crash string, runs []Run) []Report {
+	return t.mergeEach(Report{Kind: Withdrawn, Crash: crash}, runs)
 }
 
 // Withdraw records that an upstream whose crash was presumed has not crashed.
-func (t *Tracker) Withdraw(crash string, fingerprints []Fingerprint) []Report {
-	return t.mergeEach(Report{Kind: Withdrawn, Crash: crash, Presumed: true}, fingerprints)
+func (t *Tracker) Withdraw(crash string, runs []Run) []Report {
+	return t.mergeEach(Report{Kind: Withdrawn, Crash: crash, Presumed: true}, runs)
 }
 
-// mergeEach merges a report for each fingerprint, which the template completes.
-func (t *Tracker) mergeEach(template Report, fingerprints []Fingerprint) []Report {
+// mergeEach merges the reports about each run, which the template completes.
+func (t *Tracker) mergeEach(template Report, runs []Run) []Report {
 	var reports []Report
-	for _, f := range fingerprints {
-		template.Fingerprint = f
-		reports = append(reports, template)
+	for _, run := range runs {
+		reports = append(reports, template.about(run)...)
 	}
 	return t.Merge(reports)
 }
@@ -286,22 +297,23 @@
 	template.Age = max(now.Sub(at), 0)
 	var reports []Report
 	for _, run := range inFlight {
-		if (len(inFlight) > 1 || template.Presumed) && t.proven.Contains(run.Fingerprint) {
-			continue
-		}
 		r := template
-		r.Fingerprint, r.Canceled, r.Separate = run.Fingerprint, run.Canceled, run.Sent.IsZero()
+		r.Canceled, r.Separate, r.Spread = run.Canceled, run.Sent.IsZero(), run.Spread
 		if !run.Sent.IsZero() {
 			r.Ran = max(at.Sub(run.Sent), 0)
 		}
-		reports = append(reports, r)
+		for _, r := range r.about(run) {
+			if (len(inFlight) == 1 && !template.Presumed) || !t.proven.Contains(r.Fingerprint) {
+				reports = append(reports, r)
+			}
+		}
 	}
 	t.mergeAt(reports, now)
 	return reports
 }
 
 // RecordSuccess records that a request with the fingerprint completed, which clears
-// a suspect but not a quarantined fingerprint. It returns the reports that other
+// a suspect, and a quarantined content, but not a quarantined request. It returns the reports that other
 // nodes should merge.
 func (t *Tracker) RecordSuccess(f Fingerprint) []Report {
 	now := time.Now()
@@ -311,11 +323,12 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.Verdict(f) == Quarantined {
+	r, ok := t.records.Peek(f)
+	if t.Verdict(f) == Quarantined && !r.isContent() {
 		return nil
 	}
 	t.proven.Add(f, now)
-	r, ok := t.records.Peek(f)
+	t.alert.clear(f)
 	if !ok || len(r.trials)+len(r.doubted) == 0 {
 		return nil
 	}
--- a/pkg/poison/presumed_test.go
+++ b/pkg/poison/presumed_test.go
@@ -54,7 +54,7 @@
 		for i := range 3 {
 			b.Merge(presume(a, fmt.Sprintf("u%d/1", i), 7))
 		}
-		b.Merge(a.Withdraw("u1/1", []Fingerprint{7}))
+		b.Merge(a.Withdraw("u1/1", []Run{{Fingerprint: 7}}))
 		late := New()
 		late.Merge(a.Reports())
 		for name, tracker := range map[string]*Tracker{"a": a, "b": b, "late": late} {
@@ -99,7 +99,7 @@
 		if !tracker.Held(7) {
 			t.Error("Held() with two doubts = false, want true")
 		}
-		tracker.EndDoubt("u2/1", []Fingerprint{7})
+		tracker.EndDoubt("u2/1", []Run{{Fingerprint: 7}})
 		if tracker.Held(7) {
 			t.Error("Held() after a result = true, want false")
 		}
@@ -122,7 +122,7 @@
 		for i := range 3 {
 			crash := fmt.Sprintf("u%d/1", i)
 			presume(tracker, crash, 7)
-			tracker.EndDoubt(crash, []Fingerprint{7})
+			tracker.EndDoubt(crash, []Run{{Fingerprint: 7}})
 		}
 		if got, want := tracker.Verdict(7), Quarantined; got != want {
 			t.Errorf("Verdict() = %v, want %v", got, want)
--- a/pkg/poison/record.go
+++ b/pkg/poison/record.go
@@ -59,6 +59,10 @@
 	// withdrawn that it has responded since.
 	presumed  bool
 	withdrawn bool
+	// spread reports that the request was sent to other upstreams too.
+	spread bool
+	// caller is the fingerprint of the caller's own request in the record of a content.
+	caller Fingerprint
 }
 
 // maxSuspects bounds the suspects kept for each crash.
@@ -191,6 +195,20 @@
 	return trials, anyAlone
 }
 
+// isContent reports whether this is the record of a content.
+func (r record) isContent() bool { return len(r.trials) > 0 && r.trials[0].caller != 0 }
+
+// oneCaller reports whether this is the record of a content, and all its trials are of the
+// same caller.
+func (r record) oneCaller() bool {
+	for i, t := range r.trials {
+		if t.caller == 0 || i > 0 && t.caller != r.trials[0].caller {
+			return false
+		}
+	}
+	return len(r.trials) > 0
+}
+
 // expiry returns when the record ends if nothing more is reported.
 func (r record) expiry(retention time.Duration) time.Time {
 	crashed := r.clearedAt
--- a/pkg/poison/report.go
+++ b/pkg/poison/report.go
@@ -44,6 +44,27 @@
 	// Presumed reports that the upstream was only found unreachable. A cut or a
 	// pause look the same.
 	Presumed bool `msgpack:"p,omitempty"`
+	// Spread reports that the request was sent to other upstreams too.
+	Spread bool `msgpack:"w,omitempty"`
+	// Caller is the fingerprint of the caller's own request if Fingerprint is that of
+	// its content, and 0 otherwise.
+	Caller Fingerprint `msgpack:"b,omitempty"`
+}
+
+// contentPrefix distinguishes the suspects among the contents of a crash from those among
+// the requests.
+const contentPrefix = "*"
+
+// about returns the reports about the run that the template describes: one for the request
+// and, if it has a content, one for that.
+func (r Report) about(run Run) []Report {
+	r.Fingerprint = run.Fingerprint
+	if run.Content == 0 {
+		return []Report{r}
+	}
+	content := r
+	content.Fingerprint, content.Caller, content.Crash = run.Content, run.Fingerprint, contentPrefix+r.Crash
+	return []Report{r, content}
 }
 
 // Merge adds reports and returns those that were not known. Reports from other nodes
@@ -88,6 +109,7 @@
 		if r.Kind == Crashed && !r.Canceled {
 			t.addSuspect(r.Crash, r.Fingerprint)
 		}
+		t.updateAlert(r, now.Add(-max(r.Age, 0)))
 	}
 	return added
 }
@@ -128,7 +150,7 @@
 	at := now.Add(-max(report.Age, 0))
 	t := trial{
 		crash: report.Crash, sent: at.Add(-max(report.Ran, 0)), ended: at,
-		canceled: report.Canceled, separate: report.Separate, presumed: report.Presumed,
+		canceled: report.Canceled, separate: report.Separate, presumed: report.Presumed, spread: report.Spread, caller: report.Caller,
 	}
 	switch report.Kind {
 	case Crashed:
@@ -179,7 +201,7 @@
 		list = append(list, Report{Kind: Cleared, Fingerprint: f, Age: now.Sub(r.clearedAt)})
 	}
 	for _, tr := range r.trials {
-		list = append(list, Report{Kind: Crashed, Fingerprint: f, Crash: tr.crash, Age: now.Sub(tr.ended), Ran: tr.ended.Sub(tr.sent), Canceled: tr.canceled, Separate: tr.separate, Presumed: tr.presumed})
+		list = append(list, Report{Kind: Crashed, Fingerprint: f, Crash: tr.crash, Age: now.Sub(tr.ended), Ran: tr.ended.Sub(tr.sent), Canceled: tr.canceled, Separate: tr.separate, Presumed: tr.presumed, Spread: tr.spread, Caller: tr.caller})
 		if tr.withdrawn {
 			list = append(list, Report{Kind: Withdrawn, Fingerprint: f, Crash: tr.crash, Presumed: true})
 		}
