--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -59,8 +59,8 @@
 	failure  *link.Response
 	// broken holds the upstreams that closed a connection of the request without a
 	// response.
-	broken []*upstream
-	permits  sendPermits
+	broken  []*upstream
+	permits sendPermits
 	// head is the part of the request that is the same for all upstreams,
 	// encoded once.
 	head     []byte
