internal/cmds: the garbage collector runs at its default pace

Operators saw: a node's memory grew to nine times its live heap, 35 MB on small deployments and 61 MB on the large one, of which all nodes together took 19 GB. Cause: the collector was set to run at 800 % of the live heap, to save processor time. At a live heap of a few megabytes a collection costs less than the memory it leaves cold. Change: the runtime's default, 100 %; the memory limit stays.

--- a/internal/cmds/relay.go
+++ b/internal/cmds/relay.go
@@ -58,10 +58,6 @@
 	// the memory limit of the Go runtime. Near the limit, the runtime collects
 	// garbage more often. The rest is for stacks, kernel buffers and the binary.
 	memoryLimitRatio = 0.7
-	// gcPercent lets the heap grow to nine times its live size between garbage
-	// collections. The live heap of a node is a few megabytes, and frequent
-	// collections cost processor time.
-	gcPercent = 800
 	// storeIdleTimeout is how long a connection to the store may stay idle.
 	storeIdleTimeout = time.Minute
 	// storeKeepAlive is the idle time before the first TCP keep-alive probe, and
@@ -75,7 +71,6 @@
 )
 
 func runRelay(ctx context.Context, p Platform, path string, set setup.Relay) error {
-	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(set.MemoryMB) * (1 << 20)))
 	out := logs.New(os.Stdout)
 	defer out.Close()
