relay, mesh: a delegated search takes no more time than its caller has left

Cause: a gather call carries durations, computed when it is created. It then waits for the connection to the peer (up to 500 ms), and on a connection in use behind pushes of the state (hundreds of kilobytes during a reshard, on links of 29 Mbit/s). The peer counts from the arrival. Change: the durations are reduced by the wait when the call is encoded, right before it is written; gather calls have a connection of their own, beside that for state; a call without time left is answered as not run. Evidence: TestWaitingCallLosesItsTime and TestCallWithoutTimeRunsNothing; both failed before (the deadline arrived unchanged; the call ran). What is left: time on the network after the write, which the peer cannot see without a common clock.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -70,7 +70,9 @@
 	startupDelay time.Duration
 	state        State
 	log          *logrus.Entry
-	peers        *peer.Peers
+	// peers carries the exchange of state, and calls the calls of WithService, which must
+	// not wait behind large messages.
+	peers, calls *peer.Peers
 	server       *rpc.Server
 	changed      func(records []member.Record)
 	evidence     Evidence
@@ -140,7 +142,7 @@
 func New(self member.Record, l net.Listener, packets net.PacketConn, state State, dial peer.Dial, opts ...Option) *Mesh {
 	m := &Mesh{
 		self: self, listener: l, packets: packets, state: state,
-		log: logrus.NewEntry(logrus.StandardLogger()), peers: peer.NewPeers(dial), server: rpc.NewServer(),
+		log: logrus.NewEntry(logrus.StandardLogger()), peers: peer.NewPeers(dial), calls: peer.NewPeers(dial), server: rpc.NewServer(),
 		startupDelay: startupDelay, changed: func([]member.Record) {}, learnLimit: func(quota.News) bool { return false }, heartbeats: make(map[string]receivedHeartbeat), conns: make(map[net.Conn]bool),
 	}
 	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -168,7 +170,7 @@
 
 // Call calls a method of the node at the address.
 func (m *Mesh) Call(ctx context.Context, addr, method string, args, reply any) error {
-	return m.peers.Call(ctx, addr, method, args, reply)
+	return m.calls.Call(ctx, addr, method, args, reply)
 }
 
 // Run serves the other nodes until the context is done.
@@ -208,6 +210,7 @@
 	_ = m.packets.Close()
 	_ = m.listener.Close()
 	m.peers.Close()
+	m.calls.Close()
 	m.mu.Lock()
 	for c := range m.conns {
 		_ = c.Close()
--- a/internal/relay/gathercall.go
+++ b/internal/relay/gathercall.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"geraniumstep.org/geraniumstep/pkg/poison"
 	"geraniumstep.org/geraniumstep/pkg/prio"
 )
@@ -36,6 +38,21 @@
 	Cautious bool `msgpack:"c,omitempty"`
 	// Led reports that the caller's node has sent a leg ahead of these.
 	Led bool `msgpack:"w,omitempty"`
+	// created is when Soft and Deadline were set.
+	created time.Time
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder. A call may wait for a connection to the
+// peer, or behind other messages on it, and that time is no longer left.
+func (c *GatherCall) EncodeMsgpack(encoder *msgpack.Encoder) error {
+	type plain GatherCall
+	p := plain(*c)
+	if !c.created.IsZero() {
+		waited := time.Since(c.created)
+		p.Soft -= waited
+		p.Deadline -= waited
+	}
+	return encoder.Encode(&p)
 }
 
 // GatherReply holds the merged responses of the shards of a GatherCall.
--- a/internal/relay/gatherer.go
+++ b/internal/relay/gatherer.go
@@ -22,6 +22,10 @@
 // Gather sends the request to the services of the call and merges their responses.
 func (g *Gatherer) Gather(call *GatherCall, reply *GatherReply) error {
 	start := time.Now()
+	if call.Deadline <= 0 {
+		reply.NotRun = true
+		return nil
+	}
 	defer func() { reply.Took = time.Since(start) }()
 	ctx, cancel := context.WithCancel(g.engine.baseCtx)
 	defer cancel()
--- a/internal/relay/peergroup.go
+++ b/internal/relay/peergroup.go
@@ -139,7 +139,7 @@
 		ID: g.id, Request: r.req.ID, Route: r.route.Name(), Method: r.req.Method, Host: r.req.Host, Target: r.req.Target,
 		Header: r.endToEnd(), Body: r.req.Body, Services: g.services, TopK: r.topK, MinLegs: minLegs,
 		Attempts: r.plan.MaxAttempts, Priority: r.route.Priority(), Hops: r.hops + 1, Version: r.version, Fingerprint: r.fingerprint, Content: r.content, Cautious: r.cautious, Led: r.plan.Lead > 0 || r.led || r.awaited,
-		Soft: soft.Sub(now), Deadline: r.plan.Deadline.Sub(now) - replyMargin,
+		created: now, Soft: soft.Sub(now), Deadline: r.plan.Deadline.Sub(now) - replyMargin,
 	}
 }
 
--- a/internal/relay/peergroup_test.go
+++ b/internal/relay/peergroup_test.go
@@ -9,8 +9,11 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"geraniumstep.org/geraniumstep/internal/peer"
 	"geraniumstep.org/geraniumstep/internal/proto"
 	"geraniumstep.org/geraniumstep/pkg/fleet"
@@ -272,3 +275,33 @@
 		}
 	}
 }
+
+// A call that waits for a connection, or behind other messages, must not give its peer the
+// time that has passed meanwhile.
+func TestWaitingCallLosesItsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		call := &GatherCall{created: time.Now(), Soft: 200 * time.Millisecond, Deadline: 2 * time.Second, Services: []string{"s"}}
+		time.Sleep(700 * time.Millisecond)
+		data, err := msgpack.Marshal(call)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got GatherCall
+		if err := msgpack.Unmarshal(data, &got); err != nil {
+			t.Fatal(err)
+		}
+		if want := 1300 * time.Millisecond; got.Deadline != want || got.Soft != -500*time.Millisecond || got.Services[0] != "s" {
+			t.Errorf("received call = %+v, want the deadline %v and the target half a second ago", got, want)
+		}
+	})
+}
+
+// A call whose time has passed on the way must not be sent to upstreams.
+func TestCallWithoutTimeRunsNothing(t *testing.T) {
+	p := newNodePair(t, 1)
+	var reply GatherReply
+	call := &GatherCall{ID: "c", Request: "r", Method: http.MethodGet, Host: "search", Target: "/", Services: []string{"shard-3"}, Deadline: -time.Millisecond}
+	if err := p.far.Gatherer().Gather(call, &reply); err != nil || !reply.NotRun || totalRuns(p.farUps) != 0 {
+		t.Errorf("reply = %+v, %v after %d runs, want none run", reply, err, totalRuns(p.farUps))
+	}
+}
