gather: weak nodes do not gather beside enough strong ones

Cause, from a trace of late searches leg by leg: a gatherer with 29 Mbit/s takes 25 ms or more for the parts of 90 shards (90 KB and their headers) where one with 200 Mbit/s takes 4. Of 11 gatherers a domain 8 were such, because the three strong ones have a fifth of the capacity. Change: a node with less than half of the strongest one's capacity gathers only as long as the gatherers have less than a sixth of the domain's capacity. Evidence: TestWeakNodesDoNotGatherBesideEnoughStrongOnes failed before.

--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -27,6 +27,12 @@
 	// minCapacityShare is the minimum part of a domain's capacity that its
 	// gatherers have. It is large because gathering is most of a node's work.
 	minCapacityShare = 1.0 / 3
+	// minStrongShare is that part if the next node has less than strongRatio of the
+	// strongest one's capacity. A weak node takes several times as long for a search, on
+	// its processor and its link, and no node sees enough searches to find out which
+	// ones are weak.
+	minStrongShare = 1.0 / 6
+	strongRatio    = 0.5
 )
 
 // Node is one live node of the tier.
@@ -82,7 +88,7 @@
 }
 
 // choose returns the members with the highest capacity that together have
-// minCapacityShare of the domain's capacity. All nodes with the same member list
+// minCapacityShare of the domain's capacity, or minStrongShare if the others are weak. All nodes with the same member list
 // choose the same gatherers.
 func choose(members []Node) []Node {
 	sort.Slice(members, func(i, j int) bool { return strongerThan(members[i], members[j]) })
@@ -94,7 +100,11 @@
 		total += n.Capacity
 	}
 	for i, n := range members {
-		if i >= minGatherers && sum >= minCapacityShare*total {
+		share := minCapacityShare
+		if n.Capacity < strongRatio*members[0].Capacity {
+			share = minStrongShare
+		}
+		if i >= minGatherers && sum >= share*total {
 			return members[:i]
 		}
 		sum += n.Capacity
--- a/pkg/gather/gather_test.go
+++ b/pkg/gather/gather_test.go
@@ -37,6 +37,25 @@
 	}
 }
 
+// In a domain of 3 strong and 49 weak nodes, each node sends so few searches that it never
+// learns which gatherers are slow.
+func TestWeakNodesDoNotGatherBesideEnoughStrongOnes(t *testing.T) {
+	nodes := domainOf("a", "r", 3, 49)
+	if got := names(New(nodes[9], nodes).Local()); len(got) != 3 || !got["a-0"] || !got["a-1"] || !got["a-2"] {
+		t.Errorf("gatherers = %v, want the three strong nodes", got)
+	}
+	total, sum := 0.0, 0.0
+	for _, n := range nodes[2:] {
+		total += n.Capacity
+	}
+	for _, n := range New(nodes[9], nodes[2:]).Local() {
+		sum += n.Capacity
+	}
+	if sum < minStrongShare*total {
+		t.Errorf("capacity of the gatherers with one strong node left = %v, want at least %v", sum, minStrongShare*total)
+	}
+}
+
 func TestManyWeakNodesGather(t *testing.T) {
 	nodes := domainOf("a", "r", 0, 13)
 	s := New(nodes[0], nodes)
