daemon: operators list quarantines and end one

Operators had no way to release a request that was quarantined by mistake, short of deleting an object of the store and restarting every node.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,7 +19,6 @@
 	"github.com/alexedwards/flow"
 	"github.com/oklog/run"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
 	"geraniumstep.org/geraniumstep/internal/follow"
@@ -268,7 +267,7 @@
 	}, func(error) { _ = callers.Close() })
 	addServer(&group, d.server(d.readiness()), d.ready)
 	if d.metrics != nil {
-		addServer(&group, d.server(promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{})), d.metrics)
+		addServer(&group, d.server(d.operation()), d.metrics)
 	}
 	group.Add(func() error { return d.awaitStop(ctx, work, callers) }, func(error) { stop() })
 	err := group.Run()
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -336,6 +336,12 @@
 	return []Report{{Kind: Cleared, Fingerprint: f}}
 }
 
+// Clear ends the suspicion against a fingerprint as if a request with it had just
+// completed. It returns the reports that other nodes should merge.
+func (t *Tracker) Clear(f Fingerprint) []Report {
+	return t.Merge([]Report{{Kind: Cleared, Fingerprint: f}})
+}
+
 // Remaining returns how long the quarantine of the fingerprint lasts, provided that no
 // further request with it arrives.
 func (t *Tracker) Remaining(f Fingerprint) time.Duration {
