poison: crashes after that of a wide search still count

Cause: a record keeps 32 trials. Two searches of one content crashed 40 servers at once, which fills it with trials that count as one; each later crash was dropped, together with the end of its doubt, so that the content was held for 3 s and tried again. Any search of more than 32 shards does it. Change: a full record drops a trial that counts together with an earlier one; a report that adds no trial still ends the doubt. TestCrashesAfterAWideOneCount failed before (held, verdict suspect).

--- a/pkg/canary/replay_test.go
+++ b/pkg/canary/replay_test.go
@@ -219,7 +219,7 @@
 // upstreams, and the share of the others that was answered within the target.
 func replay(t *testing.T, mode canary.Mode, contents bool) (ended, ending int, served float64) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		r := &replayed{mode: mode, tracker: poison.New()}
 		random := rand.New(rand.NewPCG(1, 2))
 		var wait sync.WaitGroup
--- a/pkg/poison/content_test.go
+++ b/pkg/poison/content_test.go
@@ -168,3 +168,30 @@
 		}
 	})
 }
+
+// A wide search crashes more upstreams at once than a record holds. The crashes after that
+// must still convict it, and end its doubts.
+func TestCrashesAfterAWideOneCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := New()
+		for i := range 3 * maxTrials {
+			tr.RecordCrash(fmt.Sprintf("wide-%d/1", i), time.Now(), crashOf(1, 100))
+		}
+		time.Sleep(time.Second)
+		for i := range 2 {
+			runs := crashOf(Fingerprint(i+2), 100)
+			tr.RecordDoubt(fmt.Sprintf("u%d/1", i), time.Now(), runs)
+			tr.RecordCrash(fmt.Sprintf("u%d/1", i), time.Now(), runs)
+			if tr.Held(100) {
+				t.Errorf("Held() after crash %d = true, want false", i)
+			}
+			time.Sleep(time.Second)
+		}
+		if got, want := tr.Verdict(100), Quarantined; got != want {
+			t.Errorf("verdict = %v, want %v", got, want)
+		}
+		if got := len(tr.ReportsOf(100)); got > maxTrials {
+			t.Errorf("reports = %d, want at most %d", got, maxTrials)
+		}
+	})
+}
--- a/pkg/poison/record.go
+++ b/pkg/poison/record.go
@@ -77,21 +77,43 @@
 	if !t.sent.After(r.clearedAt.Add(clockTolerance)) {
 		return r, false
 	}
+	doubted := len(r.doubted)
 	r = r.resolved(t.crash)
 	if i := slices.IndexFunc(r.trials, t.sameCrash); i >= 0 {
 		if t.presumed || !r.trials[i].presumed {
-			return r, false
+			return r, len(r.doubted) != doubted
 		}
 		r.trials = slices.Delete(slices.Clone(r.trials), i, i+1)
 	}
-	if len(r.trials) >= maxTrials {
-		return r, false
+	trials := append(slices.Clone(r.trials), t)
+	slices.SortStableFunc(trials, func(a, b trial) int { return a.ended.Compare(b.ended) })
+	if len(trials) > maxTrials {
+		i := redundant(trials)
+		if i < 0 || trials[i].sameCrash(t) {
+			return r, len(r.doubted) != doubted
+		}
+		trials = slices.Delete(trials, i, i+1)
 	}
-	r.trials = append(slices.Clone(r.trials), t)
-	slices.SortStableFunc(r.trials, func(a, b trial) int { return a.ended.Compare(b.ended) })
+	r.trials = trials
 	return r, true
 }
 
+// redundant returns the index of the last trial that counts together with one before it, or
+// -1 if there is none. A search that crashes an upstream of each of many shards fills a
+// record with such trials, and later ones must still count.
+func redundant(trials []trial) int {
+	last := -1
+	var end time.Time
+	for i, t := range trials {
+		if i == 0 || t.separate || !t.sent.Before(end.Add(TrialGap)) {
+			end = t.ended
+			continue
+		}
+		last = i
+	}
+	return last
+}
+
 // sameCrash reports whether both trials ended in the same crash.
 func (t trial) sameCrash(other trial) bool { return t.crash == other.crash }
 
