poison: the alert ends when one content explains the crashes

Change: the quarantine of a content removes its callers' requests from the alert's suspects. Evidence: TestAlertEndsWithTheQuarantineOfTheContent failed before.

--- a/pkg/poison/alert.go
+++ b/pkg/poison/alert.go
@@ -78,11 +78,25 @@
 	return until != 0 && time.Now().UnixNano() < until
 }
 
+// endExplainedAlert removes the suspects with a content that is quarantined. Their crashes
+// are explained, and say nothing about other searches. It must be called with mu held.
+func (t *Tracker) endExplainedAlert(content Fingerprint) {
+	if t.Verdict(content) != Quarantined {
+		return
+	}
+	r, _ := t.recordOf(content)
+	for _, tr := range r.trials {
+		t.alert.clear(tr.caller)
+	}
+}
+
 // updateAlert applies a report that was not known. It must be called with mu held.
 func (t *Tracker) updateAlert(r Report, at time.Time) {
 	switch r.Kind {
 	case Crashed:
-		if r.Spread && r.Caller == 0 && !r.Canceled && !t.proven.Contains(r.Fingerprint) {
+		if r.Caller != 0 {
+			t.endExplainedAlert(r.Fingerprint)
+		} else if r.Spread && !r.Canceled && !t.proven.Contains(r.Fingerprint) {
 			t.alert.raise(r.Fingerprint, at)
 		}
 	case Cleared, Completed, Withdrawn:
--- a/pkg/poison/content_test.go
+++ b/pkg/poison/content_test.go
@@ -195,3 +195,21 @@
 		}
 	})
 }
+
+// Once one content explains the crashes, other searches need not wait for a canary.
+func TestAlertEndsWithTheQuarantineOfTheContent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := New(), New()
+		for i := range 2 {
+			b.Merge(a.RecordCrash(fmt.Sprintf("u%d/1", i), time.Now(), crashOf(Fingerprint(i+1), 100)))
+			if got, want := b.Alerted(), i == 0; a.Alerted() != want || got != want {
+				t.Errorf("Alerted() after crash %d = %v, %v at the other node, want %v", i, a.Alerted(), got, want)
+			}
+			time.Sleep(time.Second)
+		}
+		b.Merge(a.RecordCrash("u9/1", time.Now(), crashOf(9, 109)))
+		if !a.Alerted() || !b.Alerted() {
+			t.Error("Alerted() after a crash under another content = false, want true")
+		}
+	})
+}
