--- a/internal/relay/canary.go
+++ b/internal/relay/canary.go
@@ -71,8 +71,7 @@
 // canaryLeg is a leg that may be the canary.
 type canaryLeg struct {
 	leg int
-	// spare reports whether the service has two usable upstreams or more, so that one
-	// may be lost.
+	// spare reports whether the service keeps a live upstream if the canary's ends.
 	spare    bool
 	distance place.Distance
 	expected time.Duration
--- a/internal/relay/down.go
+++ b/internal/relay/down.go
@@ -28,7 +28,7 @@
 	minBackIn = 200 * time.Millisecond
 )
 
-// downState is whether the process of an upstream has ended, as far as this node knows.
+// downState is this node's view of whether the process of an upstream has ended.
 type downState struct {
 	// since is when the first sign was seen, and until how long it counts. uncertain is
 	// how long it is in doubt. All are in nanoseconds since 1970.
@@ -59,8 +59,8 @@
 
 func (d *downState) isUncertain(now time.Time) bool { return now.UnixNano() < d.uncertain.Load() }
 
-// shard returns how many upstreams the service has, and how many of them are live for
-// certain.
+// shard returns how many upstreams the service has, and how many of them are live without
+// doubt. Unlike live, it does not count one that has just closed a connection.
 func (s *serviceUpstreams) shard(now time.Time) canary.Shard {
 	n := 0
 	for _, u := range s.upstreams {
--- a/pkg/canary/replay_test.go
+++ b/pkg/canary/replay_test.go
@@ -13,7 +13,7 @@
 	"geraniumstep.org/geraniumstep/pkg/poison"
 )
 
-// The load of the day "deadly": for 20 s, searches of 20 shards with two upstreams each, of which every 33rd ends the
+// The load: for 20 s, searches of 20 shards with two upstreams each, of which every 33rd ends the
 // upstreams that run it, 60 ms after they begin. An upstream is replaced after 3 s.
 const (
 	shards      = 20
