crash: an upstream that responds to a probe at once is not doubted

Callers saw: requests held (503 for 0.25 s) at every node because one request was slow somewhere. Cause: a check for a request without a response probes at once, and a probe counted as answered only if the response came later than 20 ms after the check began. A near upstream responds within 1 ms, so it was reported to all nodes as possibly crashed until the next probe. Evidence: in the tests of cut nodes, nodes that were not cut reported doubts without a failed probe (goroutine and probe trace). The new test failed before: [doubted cleared], want [cleared].

--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -287,7 +287,7 @@
 	switch {
 	case result == Refused, result == Replaced, w.restarted:
 		return w.conclude(now, false)
-	case heard:
+	case result == Responded, heard:
 		return w.clear()
 	}
 	w.failures++
--- a/pkg/crash/crash_test.go
+++ b/pkg/crash/crash_test.go
@@ -121,6 +121,18 @@
 	}
 }
 
+// An upstream that responds to a probe at once, beside a request without a response, was
+// reported to all nodes as possibly crashed.
+func TestUpstreamThatRespondsToAProbeIsNotDoubted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := upstreamSim{result: always(Responded), takes: time.Millisecond, connected: true}
+		got := kinds(s.replay(map[time.Duration]Event{SilentAfter: Unanswered{Run: runOf(1)}}, 3*time.Second))
+		if want := []string{"cleared"}; !slices.Equal(got, want) {
+			t.Errorf("actions = %v, want %v", got, want)
+		}
+	})
+}
+
 // A request that is in flight when its upstream vanishes must be known within 3 s.
 func TestUnansweredRunIsPresumedToHaveEndedItsUpstream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
