relay: a node cut from all upstreams serves by way of other nodes

Callers saw: at nodes that had lost only their links to the upstreams, searches rejected or held to their deadline, for as long as the cut lasted and 2 s more (RECOVER); searches of sound nodes lost the legs that they had delegated to cut ones; equal requests were held elsewhere because the cut nodes reported up to 292 crashes that had not happened. Cause: each upstream was judged alone, the node never; nothing but a search of a weak node, or the legs of another region, could go by way of a peer. Class: a fault of the observer that is put down to what it observes. Then whole requests, of any route, go to a peer that is not, in one call each, at most once where that is asked; a cut node takes no call of another, so that none go round. Without such a peer requests are rejected at once. Attempts that wait when the cut is found, and may be repeated or have sent nothing, are withdrawn. What was learned of upstreams in the cut is forgotten at its end, and a probe in it shows nothing of a crash.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -133,6 +133,11 @@
 	reply  proto.Reply
 }
 
+// NewResponse returns a response that another node has read.
+func NewResponse(status int, header http.Header, body []byte) *Response {
+	return &Response{status: status, header: header, body: body}
+}
+
 // Status returns the status code.
 func (r *Response) Status() int { return r.status }
 
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -47,6 +47,13 @@
 	return newConn(raw), nil
 }
 
+// HasIdle reports whether a connection waits to be used.
+func (p *Pool) HasIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0
+}
+
 func (p *Pool) popIdle() *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -27,7 +27,7 @@
 
 	mu       sync.Mutex
 	canceled bool
-	// withdraw ends the wait for a slot or a turn. conn is the connection in use, if any.
+	// withdraw ends the wait for a slot, a turn or, if this node is cut off, a connection. conn is the connection in use, if any.
 	withdraw context.CancelFunc
 	conn     *link.Conn
 }
@@ -130,10 +130,12 @@
 // exchange sends the request on a connection and reads the response.
 func (r *run) exchange(a *attempt) (attemptDone, gate.Outcome) {
 	u := a.upstream
-	c, err := u.pool.Connect(r.engine.baseCtx)
+	c, err := r.connect(a)
 	if err != nil {
-		u.stats.Failed()
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		if !a.isCanceled() {
+			u.stats.Failed()
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) && r.engine.links.isSound() {
 			u.down.mark(time.Now(), refusedTime)
 			r.engine.stepCrash(u, crash.DialRefused{})
 		}
@@ -172,6 +174,21 @@
 	return r.classifyReply(a, res, err, time.Since(start))
 }
 
+// connect returns a connection to the upstream of the attempt. One that is being opened for
+// an attempt that is no longer needed is kept, unless this node is cut off.
+func (r *run) connect(a *attempt) (*link.Conn, error) {
+	ctx, cancel := context.WithCancel(r.engine.baseCtx)
+	defer cancel()
+	if !a.setWithdraw(func() {
+		if r.engine.links.isCut() {
+			cancel()
+		}
+	}) && r.engine.links.isCut() {
+		return nil, context.Canceled
+	}
+	return a.upstream.pool.Connect(ctx)
+}
+
 // classifyReply determines how an exchange ended and updates the statistics of the
 // upstream. A reply that proves that the request did not run releases the permit of
 // the attempt.
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -74,6 +74,7 @@
 	now := time.Now()
 	u.crash.watch.Heard(now)
 	u.down.clear()
+	e.links.answered(now)
 	e.lastHeard.Store(&heard{from: u, at: now})
 }
 
@@ -286,12 +287,28 @@
 	return poison.Run{Fingerprint: r.fingerprint, Content: r.content, Sent: sent, Spread: r.gather}
 }
 
-// probe finds out on a new connection whether the upstream's process still responds. The
-// connection is then available to requests.
+// probe finds out on a new connection whether the upstream's process still responds.
 func (e *Engine) probe(u *upstream) crash.Result {
+	start := time.Now()
+	result := e.tryProbe(u)
+	if result != crash.Responded && result != crash.Replaced && e.links.wasCutSince(start) {
+		return crash.Inconclusive
+	}
+	return result
+}
+
+// tryProbe probes the upstream. The connection is then available to requests.
+func (e *Engine) tryProbe(u *upstream) crash.Result {
 	ctx, cancel := context.WithTimeout(e.baseCtx, probeTimeout)
 	defer cancel()
 	c, err := u.pool.Open(ctx)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		if !e.links.confirm(ctx, u) {
+			return crash.Inconclusive
+		}
+		// The refusal counts only if it outlasts what the others have shown.
+		c, err = u.pool.Open(ctx)
+	}
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return crash.Refused
--- a/internal/relay/cut_test.go
+++ b/internal/relay/cut_test.go
@@ -91,9 +91,11 @@
 	nodes []*Engine
 	links []*cutLinks
 	ups   []*fakeUpstream
-	// presumed counts the upstreams that any node presumed to have crashed.
-	presumed atomic.Int64
-	sent     atomic.Int64
+	sent  atomic.Int64
+
+	mu sync.Mutex
+	// accused holds the reports of the nodes that an upstream has or may have crashed.
+	accused []string
 }
 
 // newCutTier starts nodes in the failure domains, and two upstreams of each of 8 shards and
@@ -134,9 +136,11 @@
 		WithDial(l.dial)(e)
 		WithReachable(func(time.Time) bool { return true })(e)
 		WithCrashes(poison.New(), func(reports []poison.Report) {
+			tier.mu.Lock()
+			defer tier.mu.Unlock()
 			for _, r := range reports {
-				if r.Presumed {
-					tier.presumed.Add(1)
+				if r.Kind == poison.Crashed || r.Kind == poison.Doubted {
+					tier.accused = append(tier.accused, fmt.Sprintf("node %d: %v %s", i, r.Kind, r.Crash))
 				}
 			}
 		})(e)
@@ -151,6 +155,9 @@
 		if method == GatherService+".Cancel" {
 			return g.Cancel(args.(*CancelCall), &None{})
 		}
+		if method == GatherService+".Forward" {
+			return g.Forward(args.(*GatherCall), reply.(*GatherReply))
+		}
 		return g.Gather(args.(*GatherCall), reply.(*GatherReply))
 	}
 	for i, e := range tier.nodes {
@@ -164,7 +171,7 @@
 func (c *cutTier) load(node int, d time.Duration) (sent, answered int64) {
 	var callers sync.WaitGroup
 	var good, all atomic.Int64
-	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		for _, host := range []string{"search", "single", "once"} {
 			req := request(host, fmt.Sprintf("r-%d", c.sent.Add(1)))
 			req.Target = "/" + req.ID
@@ -201,46 +208,54 @@
 // requests or held them until their deadline, and presumed that the upstreams had crashed.
 func TestNodeCutFromAllUpstreamsServesByWayOfPeers(t *testing.T) {
 	t.Parallel()
+	cuts := []struct {
+		name string
+		cut  []int
+	}{{"one node", []int{0}}, {"most nodes", []int{0, 1, 2, 3}}, {"a failure domain", []int{0, 1}}}
 	for name, mode := range map[string]cutMode{"hanging": cutHang, "reset": cutReset, "refused": cutRefuse} {
-		for _, c := range []struct {
-			name string
-			cut  []int
-		}{{"one node", []int{0}}, {"most nodes", []int{0, 1, 2, 3}}, {"a failure domain", []int{0, 1}}} {
-			t.Run(name+" "+c.name, func(t *testing.T) {
-				t.Parallel()
-				tier := newCutTier(t, "a1", "a1", "b1", "b1", "c1")
-				for i := range tier.nodes {
-					tier.load(i, 200*time.Millisecond)
-				}
-				for _, i := range c.cut {
-					tier.links[i].set(mode)
-				}
-				var loads sync.WaitGroup
-				for _, i := range c.cut {
-					loads.Go(func() {
-						tier.load(i, cutNoticeTime)
-						sent, answered := tier.load(i, time.Second)
-						if float64(answered) < minServedCut*float64(sent) {
-							t.Errorf("node %d answered %d of %d requests in time during the cut, want at least %v of them", i, answered, sent, minServedCut)
-						}
-					})
-				}
-				loads.Wait()
-				for _, i := range c.cut {
-					tier.links[i].set(cutNone)
-				}
-				time.Sleep(500 * time.Millisecond)
-				if sent, answered := tier.load(0, time.Second); float64(answered) < minServedCut*float64(sent) {
-					t.Errorf("answered %d of %d requests in time after the cut, want at least %v of them", answered, sent, minServedCut)
-				}
-				if got := tier.presumed.Load(); got != 0 {
-					t.Errorf("upstreams presumed to have crashed = %d, want 0", got)
-				}
-				for _, up := range tier.ups {
-					up.checkOnce(t)
-				}
-			})
-		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for _, c := range cuts {
+				t.Run(c.name, func(t *testing.T) { testCut(t, mode, c.cut) })
+			}
+		})
+	}
+}
+
+// testCut cuts nodes off for some seconds.
+func testCut(t *testing.T, mode cutMode, cut []int) {
+	tier := newCutTier(t, "a1", "a1", "b1", "b1", "c1")
+	for i := range tier.nodes {
+		tier.load(i, 200*time.Millisecond)
+	}
+	for _, i := range cut {
+		tier.links[i].set(mode)
+	}
+	var loads sync.WaitGroup
+	for _, i := range cut {
+		loads.Go(func() {
+			tier.load(i, cutNoticeTime)
+			sent, answered := tier.load(i, time.Second)
+			if float64(answered) < minServedCut*float64(sent) {
+				t.Errorf("node %d answered %d of %d requests in time during the cut, want at least %v of them", i, answered, sent, minServedCut)
+			}
+		})
+	}
+	loads.Wait()
+	for _, i := range cut {
+		tier.links[i].set(cutNone)
+	}
+	time.Sleep(500 * time.Millisecond)
+	if sent, answered := tier.load(0, time.Second); float64(answered) < minServedCut*float64(sent) {
+		t.Errorf("answered %d of %d requests in time after the cut, want at least %v of them", answered, sent, minServedCut)
+	}
+	tier.mu.Lock()
+	defer tier.mu.Unlock()
+	if len(tier.accused) > 0 {
+		t.Errorf("reports that an upstream has or may have crashed = %v, want none", tier.accused)
+	}
+	for _, up := range tier.ups {
+		up.checkOnce(t)
 	}
 }
 
--- a/internal/relay/deps.go
+++ b/internal/relay/deps.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"geraniumstep.org/geraniumstep/pkg/fanout"
+	"geraniumstep.org/geraniumstep/pkg/place"
 	"geraniumstep.org/geraniumstep/pkg/poison"
 	"geraniumstep.org/geraniumstep/pkg/retry"
 )
@@ -14,10 +16,32 @@
 		delete(r.pendingGroups, service)
 		return g, true
 	}
+	if r.engine.links.isCut() {
+		return r.pickInCut(service, tried)
+	}
 	u := r.pick(service, func(u *upstream) bool { return contains(tried, u) })
 	return u, u != nil
 }
 
+// pickInCut chooses an upstream with a live connection, or a peer.
+func (r *run) pickInCut(service string, tried []fanout.Upstream) (fanout.Upstream, bool) {
+	if r.engine.links.hasLive() {
+		if u := r.pick(service, func(u *upstream) bool { return contains(tried, u) || !u.pool.HasIdle() }); u != nil {
+			return u, true
+		}
+	}
+	if !r.mustDetour() {
+		return nil, false
+	}
+	g := r.detour(tried, r.plan.MaxAttempts-r.reached(service))
+	return g, g != nil
+}
+
+// reached returns how many upstreams the leg of the service may have reached.
+func (r *run) reached(service string) int {
+	return r.machine.Reached(slices.Index(r.plan.Services, service))
+}
+
 // ExpectedLatency implements fanout.Deps.
 func (r *run) ExpectedLatency(service string, tried []fanout.Upstream) (time.Duration, bool) {
 	u := r.pick(service, func(u *upstream) bool { return contains(tried, u) })
@@ -29,18 +53,26 @@
 
 // MaxUpstreams implements fanout.Deps. A group may use all attempts of a leg.
 func (r *run) MaxUpstreams(u fanout.Upstream) int {
-	if _, ok := u.(*peerGroup); ok {
-		return r.plan.MaxAttempts
+	if g, ok := u.(*peerGroup); ok {
+		return g.maxAttempts
 	}
 	return 1
 }
 
 // Reliable implements fanout.Deps.
-func (r *run) Reliable(u fanout.Upstream) bool { return u.(*upstream).stats.Reliable(time.Now()) }
+func (r *run) Reliable(u fanout.Upstream) bool { return statsOf(u).Reliable(time.Now()) }
+
+// statsOf returns the statistics of an upstream or a peer.
+func statsOf(u fanout.Upstream) *place.Stats {
+	if g, ok := u.(*peerGroup); ok {
+		return g.peer.stats
+	}
+	return u.(*upstream).stats
+}
 
 // HedgeAfter implements fanout.Deps.
 func (r *run) HedgeAfter(u fanout.Upstream) time.Duration {
-	return max(hedgeFactor*u.(*upstream).stats.ServiceTime(time.Now()), minHedgeDelay)
+	return max(hedgeFactor*statsOf(u).ServiceTime(time.Now()), minHedgeDelay)
 }
 
 // SpendSpeculative implements fanout.Deps.
--- a/internal/relay/do.go
+++ b/internal/relay/do.go
@@ -88,6 +88,9 @@
 	if !now.Before(r.plan.Deadline) {
 		return proto.Refused{Reason: "deadline has passed"}
 	}
+	if r.mustDetour() && !r.canServe() {
+		r.engine.links.awaitEnd(ctx, r.plan.SoftDeadline.Sub(now)/awaitEndDivisor)
+	}
 	if reject, ok := r.admission(now).(admit.Reject); ok {
 		r.verdict = "rejected"
 		return proto.Refused{Reason: "queues are longer than the target", RetryAfter: reject.RetryAfter}
@@ -109,6 +112,10 @@
 	}
 	decision := admit.Decide(expected, r.plan.MinAnswered, r.plan.SoftDeadline.Sub(now))
 	if reject, ok := decision.(admit.Reject); ok {
+		if r.engine.links.isCut() {
+			reject.RetryAfter = max(reject.RetryAfter, cutRetryAfter)
+			return reject
+		}
 		reject.RetryAfter = max(reject.RetryAfter, r.nextTurn())
 		if len(expected) < r.plan.MinAnswered && r.gather {
 			reject.RetryAfter = max(reject.RetryAfter, r.engine.backIn(r.plan.Services))
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -69,12 +69,16 @@
 	shareLimit func(quota.News)
 	// reachable reports whether anything but upstreams has been heard of since a time.
 	reachable func(since time.Time) bool
+	// links is what is known of this node's links to the upstreams.
+	links *links
 	// lastHeard is the last response of any upstream, or nil.
 	lastHeard atomic.Pointer[heard]
 	metrics   *metrics
 	tickets   atomic.Uint64
 
-	peers         atomic.Pointer[peers]
+	peers atomic.Pointer[peers]
+	// peerCalls is the number of calls of other nodes in progress.
+	peerCalls     atomic.Int64
 	gatherCancels sync.Map // maps the ID of a gather for another node to its cancel function
 
 	routes    atomic.Pointer[vhost.Snapshot]
@@ -170,6 +174,7 @@
 		lead: defaultLead, canaryMode: canary.OnAlert, memory: memory.New(defaultMemoryBytes), tracker: poison.New(), share: func([]poison.Report) {}, quarantined: func(poison.Fingerprint) {},
 		reachable: func(time.Time) bool { return false }, shareLimit: func(quota.News) {},
 	}
+	e.links = newLinks(e)
 	e.nodes.Store(1)
 	e.restart.Store(int64(initialRestart))
 	e.gatherers.Store(1)
@@ -303,7 +308,7 @@
 		entry: entry,
 		stats: place.NewStats(e.distance(entry.Domain()), entry.Slots(), entry.ColdUntil()),
 		gate:  gate.NewShared(gate.WithSlots(slots), gate.WithQueue(gateQueue)),
-		pool:  link.NewPool(entry.Addr(), e.dial),
+		pool:  link.NewPool(entry.Addr(), e.dialerOf(entry.ID())),
 	}
 	u.slots.Store(int64(slots))
 	u.crash = e.newCrashCheck(u)
--- a/internal/relay/gathercall.go
+++ b/internal/relay/gathercall.go
@@ -9,7 +9,8 @@
 	"geraniumstep.org/geraniumstep/pkg/prio"
 )
 
-// GatherCall is the request to another node to gather some shards of a search.
+// GatherCall is the request to another node to gather some shards of a search, or to send
+// a request to one service.
 type GatherCall struct {
 	ID       string              `msgpack:"i"`
 	Request  string              `msgpack:"r"`
@@ -38,10 +39,25 @@
 	Cautious bool `msgpack:"c,omitempty"`
 	// Led reports that the caller's node has sent a leg ahead of these.
 	Led bool `msgpack:"w,omitempty"`
+	// Idempotent reports that a request to one service may run more than once. Requests to
+	// shards always may.
+	Idempotent bool `msgpack:"j,omitempty"`
+	// Single reports that the call holds a request to one service. The method says so to
+	// the peer.
+	Single bool `msgpack:"-"`
 	// created is when Soft and Deadline were set.
 	created time.Time
 }
 
+// method returns the method of the peer that serves the call. A node that does not know
+// Forward must not take a request that may run once for a search.
+func (c *GatherCall) method() string {
+	if c.Single {
+		return GatherService + ".Forward"
+	}
+	return GatherService + ".Gather"
+}
+
 // EncodeMsgpack implements msgpack.CustomEncoder. A call may wait for a connection to the
 // peer, or behind other messages on it, and that time is no longer left.
 func (c *GatherCall) EncodeMsgpack(encoder *msgpack.Encoder) error {
@@ -73,10 +89,22 @@
 	// none ran the request to its end. Crashes holds what is known of that.
 	InDoubt bool            `msgpack:"x,omitempty"`
 	Crashes []poison.Report `msgpack:"c,omitempty"`
+	// Cut reports that the node cannot reach the upstreams.
+	Cut bool `msgpack:"o,omitempty"`
+	// Response is the upstream's response to a request to one service. Legs is empty if
+	// it is a failure.
+	Response *PeerResponse `msgpack:"s,omitempty"`
 	// Took is how long the called node worked on the call.
 	Took time.Duration `msgpack:"t"`
 }
 
+// PeerResponse is an upstream's response that another node has received.
+type PeerResponse struct {
+	Status int                 `msgpack:"s"`
+	Header map[string][]string `msgpack:"h"`
+	Body   []byte              `msgpack:"b"`
+}
+
 // CancelCall identifies a gather whose result is no longer needed.
 type CancelCall struct {
 	ID string `msgpack:"i"`
--- a/internal/relay/gatherer.go
+++ b/internal/relay/gatherer.go
@@ -5,7 +5,11 @@
 	"net/http"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
+	"geraniumstep.org/geraniumstep/internal/link"
 	"geraniumstep.org/geraniumstep/internal/proto"
+	"geraniumstep.org/geraniumstep/internal/tasks"
 	"geraniumstep.org/geraniumstep/pkg/admit"
 	"geraniumstep.org/geraniumstep/pkg/fanout"
 	"geraniumstep.org/geraniumstep/pkg/topk"
@@ -21,7 +25,28 @@
 
 // Gather sends the request to the services of the call and merges their responses.
 func (g *Gatherer) Gather(call *GatherCall, reply *GatherReply) error {
+	call.Single = false
+	return g.serve(call, reply)
+}
+
+// Forward sends the request to the only service of the call, and returns the response.
+func (g *Gatherer) Forward(call *GatherCall, reply *GatherReply) error {
+	if call.Single = true; len(call.Services) != 1 {
+		return errNotSingle
+	}
+	return g.serve(call, reply)
+}
+
+var errNotSingle = merry.New("call to forward a request names no service or several; send it to one")
+
+func (g *Gatherer) serve(call *GatherCall, reply *GatherReply) error {
 	start := time.Now()
+	g.engine.peerCalls.Add(1)
+	defer g.engine.peerCalls.Add(-1)
+	if g.engine.links.isCut() {
+		reply.NotRun, reply.Cut = true, true
+		return nil
+	}
 	if call.Deadline <= 0 {
 		reply.NotRun = true
 		return nil
@@ -55,6 +80,20 @@
 	return nil
 }
 
+// peerCallInterval is how often a node that stops checks whether calls are in progress.
+const peerCallInterval = 20 * time.Millisecond
+
+// AwaitPeerCalls waits until no call of another node is in progress, or the context is done.
+// It reports whether none is.
+func (e *Engine) AwaitPeerCalls(ctx context.Context) bool {
+	for e.peerCalls.Load() > 0 {
+		if !tasks.Sleep(ctx, peerCallInterval) {
+			return false
+		}
+	}
+	return true
+}
+
 // Cancel ends a gather whose result is no longer needed.
 func (g *Gatherer) Cancel(call *CancelCall, _ *None) error {
 	if cancel, ok := g.engine.gatherCancels.LoadAndDelete(call.ID); ok {
@@ -70,20 +109,34 @@
 		ID: call.Request, Method: call.Method, Host: call.Host, Target: call.Target,
 		Header: http.Header(call.Header), Body: call.Body, Arrived: now, Remaining: call.Deadline,
 	}
-	route := vhost.NewRoute(call.Route, call.Host, "", vhost.NewGather(call.Services, call.TopK, 0),
-		vhost.WithPriority(call.Priority), vhost.WithMaxAttempts(call.Attempts), vhost.WithIdempotent(true),
+	idempotent := !call.Single || call.Idempotent
+	route := vhost.NewRoute(call.Route, call.Host, "", call.destination(),
+		vhost.WithPriority(call.Priority), vhost.WithMaxAttempts(call.Attempts), vhost.WithIdempotent(idempotent),
 		vhost.WithTimeout(call.Deadline), vhost.WithTarget(call.Soft))
 	return &run{
 		engine: e, req: req, route: route, version: call.Version, fingerprint: call.Fingerprint, content: call.Content, directory: e.upstreams.Load(),
-		gather: true, topK: call.TopK, hops: call.Hops, cautious: call.Cautious, led: call.Led,
+		gather: !call.Single, topK: call.TopK, hops: max(call.Hops, 1), cautious: call.Cautious, led: call.Led,
 		plan: fanout.Plan{
-			Cautious: call.Cautious, Services: call.Services, MinAnswered: max(call.MinLegs, 1), MaxAttempts: max(call.Attempts, 1), Idempotent: true,
+			Cautious: call.Cautious, Services: call.Services, MinAnswered: max(call.MinLegs, 1), MaxAttempts: max(call.Attempts, 1), Idempotent: idempotent,
 			SoftDeadline: now.Add(call.Soft), Deadline: now.Add(call.Deadline),
 		},
 	}
 }
 
+// destination returns where the call is sent.
+func (c *GatherCall) destination() vhost.Destination {
+	if c.Single {
+		return vhost.NewSingle(c.Services[0])
+	}
+	return vhost.NewGather(c.Services, c.TopK, 0)
+}
+
+func newPeerResponse(res *link.Response) *PeerResponse {
+	return &PeerResponse{Status: res.Status(), Header: res.Header(), Body: res.Body()}
+}
+
 func (r *run) reply(reply *GatherReply) {
+	reply.Cut = r.engine.links.isCut()
 	m := topk.New(r.topK)
 	for _, g := range r.groups {
 		if !g.answered {
@@ -97,11 +150,17 @@
 		if p == nil || r.inGroup(i) {
 			continue
 		}
-		m.Add(p.Body())
 		reply.Proofs = append(reply.Proofs, p.Reply().Proof)
 		reply.Legs = append(reply.Legs, i)
+		if r.gather {
+			m.Add(p.Body())
+		} else {
+			reply.Response = newPeerResponse(p)
+		}
+	}
+	if reply.Body = m.Bytes(); !r.gather && len(reply.Legs) == 0 && r.failure != nil {
+		reply.Response = newPeerResponse(r.failure)
 	}
-	reply.Body = m.Bytes()
 	for i := range r.plan.Services {
 		reply.Reached = append(reply.Reached, r.machine.Reached(i))
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -17,7 +17,11 @@
 	// canaries counts searches that waited for the result of a canary.
 	canaries prometheus.Counter
 	alerted  prometheus.Gauge
-	denied   prometheus.Counter
+	// cut is whether no upstream can be reached, and detours counts the calls that
+	// other nodes then take.
+	cut     prometheus.Gauge
+	detours *prometheus.CounterVec
+	denied  prometheus.Counter
 	// limited counts attempts that the limits of upstreams did not allow in time.
 	limited  prometheus.Counter
 	latency  *prometheus.HistogramVec
@@ -47,6 +51,10 @@
 			Name: "geraniumstep_relay_canaries_total", Help: "Unproven searches of which one shard request was sent alone first, because upstreams have crashed of late."}),
 		alerted: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "geraniumstep_relay_alerted", Help: "1 while upstreams have crashed of late under searches that have not completed since."}),
+		cut: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "geraniumstep_relay_cut", Help: "1 while no upstream can be reached on a new connection."}),
+		detours: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "geraniumstep_relay_detours_total", Help: "Calls by way of other nodes while no upstream can be reached, by outcome."}, []string{"outcome"}),
 		denied: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "geraniumstep_relay_extra_denied_total", Help: "Hedges and retries that the budget did not allow."}),
 		limited: prometheus.NewCounter(prometheus.CounterOpts{
@@ -61,5 +69,5 @@
 }
 
 func (m *metrics) all() []prometheus.Collector {
-	return []prometheus.Collector{m.requests, m.sends, m.failures, m.broken, m.exhausted, m.quarantined, m.canaries, m.alerted, m.denied, m.limited, m.latency, m.upstream, m.version}
+	return []prometheus.Collector{m.requests, m.sends, m.failures, m.broken, m.exhausted, m.quarantined, m.canaries, m.alerted, m.cut, m.detours, m.denied, m.limited, m.latency, m.upstream, m.version}
 }
--- a/internal/relay/peergroup.go
+++ b/internal/relay/peergroup.go
@@ -36,7 +36,12 @@
 	call     CallFunc
 	services []string
 	attempts []int
-	id       string
+	// maxAttempts is how many upstreams each leg may reach.
+	maxAttempts int
+	// detour reports that the peer takes the legs because this node reaches no upstream.
+	// services then holds those that have been assigned.
+	detour bool
+	id     string
 	// startedAt is when the peer was called, or zero before that.
 	startedAt time.Time
 
@@ -62,6 +67,13 @@
 // the local failure domain. A search that was forwarded maxHops times stays here.
 func (r *run) planGroups() {
 	r.pendingGroups = make(map[string]*peerGroup)
+	if r.mustDetour() && r.gather {
+		if g := r.detour(nil, r.plan.MaxAttempts); g != nil {
+			r.takeLegs(g, r.plan.Services)
+			r.plan.Cautious = false // the peer is cautious in this node's place
+		}
+		return
+	}
 	p := r.engine.peers.Load()
 	if !r.gather || p.set == nil || r.hops >= maxHops {
 		return
@@ -98,13 +110,33 @@
 	if p == nil || len(services) < minGroupLegs || p.stats.Excluded(time.Now()) {
 		return
 	}
-	g := &peerGroup{peer: p, call: call, services: services, id: r.req.ID + "/" + strconv.FormatUint(r.engine.tickets.Add(1), 36)}
+	g := r.newGroup(call, p, services, r.plan.MaxAttempts)
 	r.groups = append(r.groups, g)
+	r.takeLegs(g, services)
+}
+
+func (r *run) newGroup(call CallFunc, p *peerNode, services []string, attempts int) *peerGroup {
+	return &peerGroup{
+		peer: p, call: call, services: services, maxAttempts: attempts,
+		id: r.req.ID + "/" + strconv.FormatUint(r.engine.tickets.Add(1), 36),
+	}
+}
+
+// takeLegs makes the group take the first attempts of the services.
+func (r *run) takeLegs(g *peerGroup, services []string) {
 	for _, s := range services {
 		r.pendingGroups[s] = g
 	}
 }
 
+// add assigns an attempt to the group.
+func (g *peerGroup) add(s fanout.Send, service string) {
+	g.attempts = append(g.attempts, s.Attempt)
+	if g.detour {
+		g.services = append(g.services, service)
+	}
+}
+
 // startGroups calls the peers whose legs the machine has assigned.
 func (r *run) startGroups() {
 	for _, g := range r.groups {
@@ -119,7 +151,7 @@
 			ctx, cancel := context.WithDeadline(r.engine.baseCtx, r.plan.Deadline)
 			defer cancel()
 			d := groupDone{group: g}
-			d.err = g.call(ctx, g.peer.node.Addr, GatherService+".Gather", call, &d.reply)
+			d.err = g.call(ctx, g.peer.node.Addr, call.method(), call, &d.reply)
 			r.post(d)
 		})
 	}
@@ -138,7 +170,7 @@
 	return &GatherCall{
 		ID: g.id, Request: r.req.ID, Route: r.route.Name(), Method: r.req.Method, Host: r.req.Host, Target: r.req.Target,
 		Header: r.endToEnd(), Body: r.req.Body, Services: g.services, TopK: r.topK, MinLegs: minLegs,
-		Attempts: r.plan.MaxAttempts, Priority: r.route.Priority(), Hops: r.hops + 1, Version: r.version, Fingerprint: r.fingerprint, Content: r.content, Cautious: r.cautious, Led: r.plan.Lead > 0 || r.led || r.awaited,
+		Attempts: g.maxAttempts, Single: !r.gather, Idempotent: r.plan.Idempotent, Priority: r.route.Priority(), Hops: r.hops + 1, Version: r.version, Fingerprint: r.fingerprint, Content: r.content, Cautious: r.cautious, Led: r.plan.Lead > 0 || r.led || r.awaited,
 		created: now, Soft: soft.Sub(now), Deadline: r.plan.Deadline.Sub(now) - replyMargin,
 	}
 }
@@ -154,6 +186,9 @@
 		r.peerRetryAfter = max(r.peerRetryAfter, d.reply.RetryAfter)
 	}
 	r.engine.LearnCrashes(d.reply.Crashes)
+	if !r.gather {
+		r.keepResponse(&d.reply)
+	}
 	g.applyReply(d, r.plan.Services)
 	if len(d.reply.Legs) > 0 {
 		r.recordSuccess()
@@ -190,7 +225,7 @@
 // number of attempts if the peer did not report it.
 func (g *peerGroup) reachedByService(d groupDone, allowed int) map[string]int {
 	reached := make(map[string]int, len(g.services))
-	rejected := d.err == nil && d.reply.NotRun && d.reply.RetryAfter > 0
+	rejected := d.err == nil && d.reply.NotRun && (d.reply.RetryAfter > 0 || d.reply.Cut && len(d.reply.Reached) == 0)
 	reported := d.err == nil && len(d.reply.Reached) == len(g.services)
 	for i, s := range g.services {
 		switch {
@@ -207,11 +242,11 @@
 
 // applyGroup passes the result of each leg of a group to the machine.
 func (r *run) applyGroup(g *peerGroup, d groupDone, unsent bool) (fanout.Outcome, bool) {
-	reached := g.reachedByService(d, r.plan.MaxAttempts)
+	reached := g.reachedByService(d, g.maxAttempts)
 	for _, n := range g.attempts {
 		k := reached[r.plan.Services[fanout.Leg(n)]]
 		var ev fanout.Event = fanout.Failed{
-			Attempt: n, NotRun: unsent || d.reply.NotRun, Broken: d.reply.InDoubt, Unsent: unsent || k == 0, Unreached: r.plan.MaxAttempts - k,
+			Attempt: n, NotRun: unsent || d.reply.NotRun, Broken: d.reply.InDoubt, Unsent: unsent || k == 0, Unreached: g.maxAttempts - k,
 		}
 		if g.legs[fanout.Leg(n)] {
 			ev = fanout.Answered{Attempt: n}
@@ -229,7 +264,14 @@
 func (r *run) recordPeer(d groupDone) {
 	g, err := d.group, d.err
 	took := time.Since(g.startedAt)
+	if g.detour {
+		r.engine.metrics.detours.WithLabelValues(outcomeOf(d)).Inc()
+	}
 	switch {
+	case err == nil && d.reply.Cut:
+		g.peer.markCut(time.Now())
+		r.engine.log.WithField("request", r.req.ID).WithField("peer", g.peer.node.VM).
+			Info("relay: peer is cut off from the upstreams.")
 	case err == nil:
 		g.peer.stats.Answered(took)
 		g.peer.recordRoundTrip(took - d.reply.Took)
@@ -245,6 +287,19 @@
 	}
 }
 
+// outcomeOf returns how a call to a peer ended, as a label of the metrics.
+func outcomeOf(d groupDone) string {
+	switch {
+	case d.err != nil:
+		return "failed"
+	case d.reply.Cut:
+		return "cut"
+	case d.reply.NotRun:
+		return "rejected"
+	}
+	return "answered"
+}
+
 // inGroup reports whether the records of the leg are in the body of a group.
 func (r *run) inGroup(leg int) bool {
 	for _, g := range r.groups {
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -20,6 +20,9 @@
 	stats *place.Stats
 	// oneWay is the one-way network latency to the node, in nanoseconds.
 	oneWay atomic.Int64
+	// cutUntil is how long the node counts as cut off from the upstreams, in nanoseconds
+	// since 1970.
+	cutUntil atomic.Int64
 }
 
 // recordRoundTrip updates the latency with the duration of a call less the peer's
@@ -54,13 +57,8 @@
 			next.byVM[n.VM] = p
 		}
 	}
-	add(set.Local())
-	for domain := range e.regions {
-		add(set.Domain(domain))
-	}
-	for _, region := range e.regions {
-		add(set.Region(region))
-	}
+	add(set.Gatherers())
+	add(set.Others())
 	e.peers.Store(next)
 }
 
@@ -68,12 +66,14 @@
 // delay.
 const peerSlots = 8
 
-// pick chooses one of the nodes by their statistics. It returns nil if none is known.
+// pick chooses one of the nodes by their statistics. It returns nil if none is known
+// that reaches the upstreams.
 func (p *peers) pick(nodes []gather.Node) *peerNode {
+	now := time.Now()
 	list := make([]*peerNode, 0, len(nodes))
 	stats := make([]*place.Stats, 0, len(nodes))
 	for _, n := range nodes {
-		if peer, ok := p.byVM[n.VM]; ok {
+		if peer, ok := p.byVM[n.VM]; ok && peer.cutUntil.Load() <= now.UnixNano() {
 			list = append(list, peer)
 			stats = append(stats, peer.stats)
 		}
@@ -81,7 +81,7 @@
 	if len(list) == 0 {
 		return nil
 	}
-	i := place.Pick(stats, time.Now(), place.RemotePenalty{}, rand.IntN(len(stats)), func(int) bool { return false })
+	i := place.Pick(stats, now, place.RemotePenalty{}, rand.IntN(len(stats)), func(int) bool { return false })
 	return list[i]
 }
 
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -63,6 +63,9 @@
 	if !ok {
 		return 0, true
 	}
+	if r.engine.links.isCut() && !r.canServe() {
+		return 0, false
+	}
 	return r.shortestWait(p)
 }
 
@@ -109,7 +112,13 @@
 // of its upstreams may be sent the request in time.
 func (r *run) expected(service string, now time.Time) (time.Duration, bool) {
 	p, ok := r.directory.byService[service]
-	if !ok || r.gather && p.live(now) == 0 {
+	if !ok {
+		return 0, false
+	}
+	if r.engine.links.isCut() && !r.engine.links.hasLive() {
+		return 0, r.canDetour() // a peer decides by its own view of the queues
+	}
+	if r.gather && p.live(now) == 0 {
 		return 0, false
 	}
 	wait, ok := r.shortestWait(p)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -110,6 +110,7 @@
 	r.planGroups()
 	r.planCanary()
 	r.machine = fanout.New(r.plan, r)
+	cut := r.engine.links.cutSignal()
 	timer := time.NewTimer(time.Until(r.plan.Deadline))
 	defer timer.Stop()
 	outcome, finished := r.apply(fanout.Start{})
@@ -121,6 +122,9 @@
 			outcome, finished = r.handle(ev)
 		case <-timer.C:
 			outcome, finished = r.apply(fanout.Tick{})
+		case <-cut:
+			cut = nil
+			r.leaveUpstreams()
 		case <-ctx.Done():
 			r.abandon()
 			return 0, false
@@ -165,6 +169,7 @@
 		return fanout.Answered{Attempt: d.attempt.number}
 	}
 	r.lastCause = d.cause
+	d.broken = d.broken && !r.engine.links.isCut()
 	if d.broken {
 		r.broken = append(r.broken, d.attempt.upstream)
 	}
@@ -191,7 +196,7 @@
 
 func (r *run) send(s fanout.Send) {
 	if g, ok := s.Upstream.(*peerGroup); ok {
-		g.attempts = append(g.attempts, s.Attempt)
+		g.add(s, r.plan.Services[s.Leg])
 		return
 	}
 	a := &attempt{number: s.Attempt, upstream: s.Upstream.(*upstream), reason: s.Reason, placedAt: time.Now()}
@@ -201,6 +206,7 @@
 	} else {
 		r.extras++
 	}
+	r.engine.links.watch()
 	r.engine.metrics.sends.WithLabelValues(s.Reason.String()).Inc()
 	a.upstream.stats.Begin()
 	// A closed engine starts no goroutine, and execute returns.
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -73,6 +73,9 @@
 	Closed // closed
 	// Silent means that there was no response in time.
 	Silent // silent
+	// Inconclusive means that this node could not reach other upstreams either, so that
+	// the probe shows nothing.
+	Inconclusive // inconclusive
 )
 
 // Run is an attempt that ended, or is still in flight, without a response.
@@ -290,7 +293,9 @@
 	case result == Responded, heard:
 		return w.clear()
 	}
-	w.failures++
+	if result != Inconclusive {
+		w.failures++
+	}
 	if w.failures >= minFailures && now.Sub(w.since) >= minSilence && w.connected(w.since) {
 		return w.conclude(now, true)
 	}
@@ -298,7 +303,7 @@
 		return w.clear()
 	}
 	w.nextProbe = now.Add(probeInterval)
-	if w.failures == 1 && len(w.runs) > 0 {
+	if w.failures == 1 && result != Inconclusive && len(w.runs) > 0 {
 		return []Action{Doubted{Runs: w.runs}}
 	}
 	return nil
--- a/pkg/crash/enums_string.go
+++ b/pkg/crash/enums_string.go
@@ -13,11 +13,12 @@
 	_ = x[Replaced-2]
 	_ = x[Closed-3]
 	_ = x[Silent-4]
+	_ = x[Inconclusive-5]
 }
 
-const _Result_name = "aliverefusedreplacedclosedsilent"
+const _Result_name = "aliverefusedreplacedclosedsilentinconclusive"
 
-var _Result_index = [...]uint8{0, 5, 12, 20, 26, 32}
+var _Result_index = [...]uint8{0, 5, 12, 20, 26, 32, 44}
 
 func (i Result) String() string {
 	idx := int(i) - 0
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -53,6 +53,8 @@
 	domains map[string][]Node // of the other domains of this region
 	regions map[string][]Node
 	total   int
+	// gatherers holds those of all domains, and others all other live nodes.
+	gatherers, others []Node
 }
 
 // New chooses the gatherers among the live nodes, which need not include self.
@@ -67,6 +69,8 @@
 	for domain, members := range byDomain {
 		chosen := choose(members)
 		s.total += len(chosen)
+		s.gatherers = append(s.gatherers, chosen...)
+		s.others = append(s.others, members[len(chosen):]...)
 		if domain == self.Domain {
 			s.local = chosen
 		}
@@ -123,6 +127,15 @@
 	return a.VM < b.VM
 }
 
+// Self returns this node.
+func (s *Set) Self() Node { return s.self }
+
+// Gatherers returns the gatherers of all failure domains, in no order.
+func (s *Set) Gatherers() []Node { return s.gatherers }
+
+// Others returns the nodes that are not gatherers, in no order.
+func (s *Set) Others() []Node { return s.others }
+
 // Gathers reports whether this node is a gatherer.
 func (s *Set) Gathers() bool { return s.gathers }
 
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -163,6 +163,23 @@
 // change.
 func (s *Stats) MarkGone() { s.excludedUntil.Store(time.Now().Add(exclusionTime).UnixNano()) }
 
+// Waiting returns the time since the last answer, or since the first send after being idle,
+// if requests are at the upstream, and 0 otherwise.
+func (s *Stats) Waiting(now time.Time) time.Duration {
+	if s.inFlight.Load() == 0 {
+		return 0
+	}
+	return time.Duration(now.UnixNano() - s.progress.Load())
+}
+
+// Forget drops what was observed, except for the requests in flight.
+func (s *Stats) Forget() {
+	s.latency.Store(int64(s.baseLatency()))
+	s.progress.Store(time.Now().UnixNano())
+	s.failures.Store(0)
+	s.excludedUntil.Store(0)
+}
+
 // LoadReported records the load that the upstream reported.
 func (s *Stats) LoadReported(running, waiting int) {
 	s.backlog.Store(int64(running + waiting))
