daemon: a stop completes the requests of other nodes

Callers would see: 502 for a request that may run once, because the node that had taken it for a cut one was stopped. Found by reading, after requests of all kinds go by way of peers; a lost leg of a search was sent again. Cause: a stop waited for the node's own callers only, and then closed the connections between nodes. Change: it waits for the calls of other nodes too, within the grace period. Evidence: the test failed before: 'connection to the peer broke'.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -302,6 +302,9 @@
 	if err := callers.Shutdown(end); err != nil {
 		d.log.WithField("error", err.Error()).Warn("tier: requests were still in flight at the end of the grace period.")
 	}
+	if !d.engine.AwaitPeerCalls(end) {
+		d.log.Warn("tier: calls of other nodes were still in progress at the end of the grace period.")
+	}
 	return nil
 }
 
