links: the monitor's runner is a package of its own

No change of behavior: internal/links opens connections, watches answers and signals a cut; the relay implements its upstreams. The own interface's fronts need the same.

--- /dev/null
+++ b/internal/links/links.go
@@ -0,0 +1,349 @@
+// Package links runs the monitor of a node's links to the upstreams (pkg/reach): it watches
+// connections and answers, opens the connections that the monitor asks for, and tells
+// requests in progress when the node is cut off from all upstreams.
+//
+//	l := links.New(upstreams)
+//	conn, err := l.Dial(ctx, id, open) // each connection to an upstream
+//	l.Watch()                          // with each send
+//	l.Answered(time.Now())             // with each response
+//	if l.IsCut() { … }
+package links
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"geraniumstep.org/geraniumstep/internal/tasks"
+	"geraniumstep.org/geraniumstep/pkg/reach"
+)
+
+const (
+	// SilenceInterval is how long requests to several upstreams may be in flight without
+	// an answer of any before the links are in doubt. A response of a healthy upstream in
+	// another region takes less.
+	SilenceInterval = 150 * time.Millisecond
+	// maxAwaitEnd bounds the time that a request waits for the end of a cut.
+	maxAwaitEnd = 80 * time.Millisecond
+	// confirmCount is the number of other upstreams that must all be out of reach to put a
+	// refused connection down to this node's links.
+	confirmCount = 2
+	// probeTimeout bounds one connection that the monitor asks for.
+	probeTimeout = 500 * time.Millisecond
+	// sampleSize bounds the upstreams among which those for a probe are chosen.
+	sampleSize = 64
+)
+
+// Upstream is an upstream as a probe sees it.
+type Upstream interface {
+	// ID identifies the upstream, and Service is what it serves.
+	ID() string
+	Service() string
+	// HeardAt returns when the upstream last responded.
+	HeardAt() time.Time
+	// Open opens a connection through Dial, for a later request if possible.
+	Open(ctx context.Context) error
+}
+
+// Upstreams are those that the node sends requests to.
+type Upstreams interface {
+	// Count returns how many are known.
+	Count() int
+	// Silent returns how many have had requests for at least the time without an answer,
+	// and the longest of these times.
+	Silent(atLeast time.Duration) (n int, longest time.Duration)
+	// Sample returns up to n of them, in random order.
+	Sample(n int) []Upstream
+	// Forget drops what was observed of them during a cut.
+	Forget()
+}
+
+// Links is what is known of a node's links. It is safe for concurrent use.
+type Links struct {
+	upstreams Upstreams
+	log       *logrus.Entry
+	changed   func(cut bool)
+	work      context.Context
+	stop      context.CancelFunc
+	tasks     tasks.Group
+
+	mu      sync.Mutex
+	monitor *reach.Monitor
+	timer   *time.Timer
+
+	// state is the monitor's, and unsettled whether a new connection changes it.
+	state     atomic.Int32
+	unsettled atomic.Bool
+	// cutAt is when the last cut began and endedAt when it ended, answeredAt when an
+	// upstream last answered, and openedAt when a connection was last established, in
+	// nanoseconds since 1970.
+	cutAt, endedAt, answeredAt, openedAt atomic.Int64
+	// confirming makes refusals at the same time share the connections that confirm them.
+	confirming sync.Mutex
+	// watching is whether a check for silence is due.
+	watching atomic.Bool
+	// began is closed when the next cut begins, and ended when it ends.
+	began, ended atomic.Pointer[chan struct{}]
+}
+
+// Option configures Links at construction.
+type Option func(*Links)
+
+// WithLog sets the log. The default is logrus's standard logger.
+func WithLog(log *logrus.Entry) Option { return func(l *Links) { l.log = log } }
+
+// WithChanged sets a function that is called when a cut begins or ends.
+func WithChanged(f func(cut bool)) Option { return func(l *Links) { l.changed = f } }
+
+// New returns the links of a node that is connected.
+func New(upstreams Upstreams, opts ...Option) *Links {
+	l := &Links{upstreams: upstreams, monitor: reach.New(), log: logrus.NewEntry(logrus.StandardLogger()), changed: func(bool) {}}
+	l.work, l.stop = context.WithCancel(context.Background())
+	began, ended := make(chan struct{}), make(chan struct{})
+	l.began.Store(&began)
+	l.ended.Store(&ended)
+	for _, opt := range opts {
+		opt(l)
+	}
+	return l
+}
+
+// Close ends all probes and waits for them.
+func (l *Links) Close() {
+	l.stop()
+	l.tasks.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+}
+
+// IsCut reports whether no upstream can be reached on a new connection.
+func (l *Links) IsCut() bool { return reach.State(l.state.Load()) == reach.Cut }
+
+// IsSound reports whether nothing puts the links in doubt.
+func (l *Links) IsSound() bool { return reach.State(l.state.Load()) == reach.Connected }
+
+// WasCutSince reports whether the node has been cut off at any moment since the time.
+func (l *Links) WasCutSince(t time.Time) bool { return l.IsCut() || t.UnixNano() <= l.endedAt.Load() }
+
+// HasLive reports whether connections that were opened before the cut still carry answers.
+func (l *Links) HasLive() bool { return l.answeredAt.Load() > l.cutAt.Load() }
+
+// AnsweredAt returns when an upstream last answered.
+func (l *Links) AnsweredAt() time.Time { return time.Unix(0, l.answeredAt.Load()) }
+
+// CutSignal returns a channel that is closed when the next cut begins.
+func (l *Links) CutSignal() <-chan struct{} { return *l.began.Load() }
+
+// Answered records an answer of an upstream.
+func (l *Links) Answered(now time.Time) { l.answeredAt.Store(now.UnixNano()) }
+
+// Dial opens a connection to an upstream and records the outcome.
+func (l *Links) Dial(ctx context.Context, upstream string, open func(ctx context.Context) (net.Conn, error)) (net.Conn, error) {
+	conn, err := open(ctx)
+	switch {
+	case err == nil:
+		l.openedAt.Store(time.Now().UnixNano())
+		if l.unsettled.Load() {
+			l.step(reach.Opened{})
+		}
+	case ctx.Err() == nil:
+		l.step(reach.DialFailed{Upstream: upstream})
+	}
+	return conn, err
+}
+
+// Watch checks after SilenceInterval whether any upstream has answered. It is called with
+// each send.
+func (l *Links) Watch() {
+	if l.watching.CompareAndSwap(false, true) {
+		sent := time.Now()
+		time.AfterFunc(SilenceInterval, func() { l.checkSilence(sent) })
+	}
+}
+
+// checkSilence reports the upstreams without an answer unless one has answered since the
+// time, and checks again while requests are in flight.
+func (l *Links) checkSilence(since time.Time) {
+	l.watching.Store(false)
+	if l.work.Err() != nil || l.answeredAt.Load() > since.UnixNano() {
+		return
+	}
+	silent, longest := l.upstreams.Silent(SilenceInterval)
+	if silent == 0 {
+		return
+	}
+	l.step(reach.Silent{Upstreams: silent, Known: l.upstreams.Count(), For: min(longest, time.Since(l.AnsweredAt()))})
+	l.Watch()
+}
+
+// step passes an event to the monitor and executes the resulting actions.
+func (l *Links) step(ev reach.Event) {
+	l.mu.Lock()
+	before := l.monitor.State()
+	actions := l.monitor.Step(ev)
+	after := l.monitor.State()
+	l.state.Store(int32(after))
+	l.unsettled.Store(after != reach.Connected || l.monitor.Failing())
+	l.setTimer()
+	for _, a := range actions {
+		l.apply(a)
+	}
+	l.mu.Unlock()
+	if before != after {
+		l.log.WithFields(logrus.Fields{"from": before.String(), "to": after.String(), "event": describe(ev)}).
+			Info("links: state of the links to the upstreams has changed.")
+	}
+}
+
+// describe returns an event as text for the log.
+func describe(ev reach.Event) string {
+	switch ev.(type) {
+	case reach.DialFailed:
+		return "connections failed"
+	case reach.Silent:
+		return "no answers"
+	case reach.Opened:
+		return "connection opened"
+	case reach.Needed:
+		return "request waits"
+	case reach.ProbeFailed:
+		return "probes failed"
+	}
+	return "time passed"
+}
+
+// setTimer must be called with mu held.
+func (l *Links) setTimer() {
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+	if at, ok := l.monitor.Wake(); ok && l.work.Err() == nil {
+		l.timer = time.AfterFunc(time.Until(at), func() { l.step(reach.Tick{}) })
+	}
+}
+
+// apply must be called with mu held.
+func (l *Links) apply(a reach.Action) {
+	switch a := a.(type) {
+	case reach.Probe:
+		l.probe(l.choose(a.Upstreams))
+	case reach.Began:
+		l.cutAt.Store(time.Now().UnixNano())
+		signal(&l.began)
+		l.changed(true)
+		l.log.Warn("links: no upstream can be reached; requests go by way of other nodes.")
+	case reach.Ended:
+		l.upstreams.Forget()
+		l.endedAt.Store(time.Now().UnixNano())
+		signal(&l.ended)
+		l.changed(false)
+		l.log.WithField("after_ms", a.For.Milliseconds()).Warn("links: upstreams can be reached again.")
+	}
+}
+
+// Confirm reports whether new connections to other upstreams are established, so that a
+// refusal is that of the upstream. With too few others nothing contradicts it.
+func (l *Links) Confirm(ctx context.Context, refused string) bool {
+	since := time.Now().UnixNano()
+	l.confirming.Lock()
+	defer l.confirming.Unlock()
+	if l.openedAt.Load() > since {
+		return true
+	}
+	l.mu.Lock()
+	others := l.choose(confirmCount + 1)
+	l.mu.Unlock()
+	others = slices.DeleteFunc(others, func(u Upstream) bool { return u.ID() == refused })
+	if len(others) < confirmCount {
+		return true
+	}
+	opened := make(chan bool, len(others))
+	for _, u := range others {
+		if !l.tasks.Go(func() { opened <- u.Open(ctx) == nil }) {
+			return false
+		}
+	}
+	for range others {
+		if <-opened {
+			return true
+		}
+	}
+	return false
+}
+
+// signal closes the channel and puts a new one in its place.
+func signal(c *atomic.Pointer[chan struct{}]) {
+	next := make(chan struct{})
+	close(*c.Swap(&next))
+}
+
+// AwaitEnd looks for the end of the cut for a request that no other node can take, and
+// reports whether it has ended within the time.
+func (l *Links) AwaitEnd(ctx context.Context, longest time.Duration) bool {
+	ended := *l.ended.Load()
+	l.step(reach.Needed{})
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	case <-time.After(min(longest, maxAwaitEnd)):
+	}
+	return !l.IsCut()
+}
+
+// choose returns up to n upstreams of different services. Those that no connection has
+// failed to come first, and then those that were heard from last: if they cannot be reached
+// either, it is not for a fault of theirs. mu must be held.
+func (l *Links) choose(n int) []Upstream {
+	type candidate struct {
+		Upstream
+		failed bool
+		heard  time.Time
+	}
+	var list []candidate
+	for _, u := range l.upstreams.Sample(sampleSize) {
+		list = append(list, candidate{u, l.monitor.HasFailed(u.ID()), u.HeardAt()})
+	}
+	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
+	slices.SortStableFunc(list, func(a, b candidate) int {
+		if a.failed != b.failed {
+			if a.failed {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(b.heard.UnixNano(), a.heard.UnixNano())
+	})
+	var chosen []Upstream
+	services := make(map[string]bool)
+	for _, c := range list {
+		if len(chosen) < n && !services[c.Service()] {
+			services[c.Service()] = true
+			chosen = append(chosen, c.Upstream)
+		}
+	}
+	return chosen
+}
+
+// probe opens connections to the upstreams.
+func (l *Links) probe(upstreams []Upstream) {
+	failed := new(atomic.Int64)
+	for _, u := range upstreams {
+		l.tasks.Go(func() {
+			ctx, cancel := context.WithTimeout(l.work, probeTimeout)
+			defer cancel()
+			if u.Open(ctx) != nil && failed.Add(1) == int64(len(upstreams)) {
+				l.step(reach.ProbeFailed{})
+			}
+		})
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -135,7 +135,7 @@
 		if !a.isCanceled() {
 			u.stats.Failed()
 		}
-		if errors.Is(err, syscall.ECONNREFUSED) && r.engine.links.isSound() {
+		if errors.Is(err, syscall.ECONNREFUSED) && r.engine.links.IsSound() {
 			u.down.mark(time.Now(), refusedTime)
 			r.engine.stepCrash(u, crash.DialRefused{})
 		}
@@ -180,10 +180,10 @@
 	ctx, cancel := context.WithCancel(r.engine.baseCtx)
 	defer cancel()
 	if !a.setWithdraw(func() {
-		if r.engine.links.isCut() {
+		if r.engine.links.IsCut() {
 			cancel()
 		}
-	}) && r.engine.links.isCut() {
+	}) && r.engine.links.IsCut() {
 		return nil, context.Canceled
 	}
 	return a.upstream.pool.Connect(ctx)
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -74,7 +74,7 @@
 	now := time.Now()
 	u.crash.watch.Heard(now)
 	u.down.clear()
-	e.links.answered(now)
+	e.links.Answered(now)
 	e.lastHeard.Store(&heard{from: u, at: now})
 }
 
@@ -291,7 +291,7 @@
 func (e *Engine) probe(u *upstream) crash.Result {
 	start := time.Now()
 	result := e.tryProbe(u)
-	if result != crash.Responded && result != crash.Replaced && e.links.wasCutSince(start) {
+	if result != crash.Responded && result != crash.Replaced && e.links.WasCutSince(start) {
 		return crash.Inconclusive
 	}
 	return result
@@ -303,7 +303,7 @@
 	defer cancel()
 	c, err := u.pool.Open(ctx)
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		if !e.links.confirm(ctx, u) {
+		if !e.links.Confirm(ctx, u.entry.ID()) {
 			return crash.Inconclusive
 		}
 		// The refusal counts only if it outlasts what the others have shown.
--- a/internal/relay/deps.go
+++ b/internal/relay/deps.go
@@ -16,7 +16,7 @@
 		delete(r.pendingGroups, service)
 		return g, true
 	}
-	if r.engine.links.isCut() {
+	if r.engine.links.IsCut() {
 		return r.pickInCut(service, tried)
 	}
 	u := r.pick(service, func(u *upstream) bool { return contains(tried, u) })
@@ -25,7 +25,7 @@
 
 // pickInCut chooses an upstream with a live connection, or a peer.
 func (r *run) pickInCut(service string, tried []fanout.Upstream) (fanout.Upstream, bool) {
-	if r.engine.links.hasLive() {
+	if r.engine.links.HasLive() {
 		if u := r.pick(service, func(u *upstream) bool { return contains(tried, u) || !u.pool.HasIdle() }); u != nil {
 			return u, true
 		}
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"geraniumstep.org/geraniumstep/internal/link"
+	"geraniumstep.org/geraniumstep/internal/links"
 	"geraniumstep.org/geraniumstep/pkg/fanout"
 	"geraniumstep.org/geraniumstep/pkg/gather"
 	"geraniumstep.org/geraniumstep/pkg/place"
@@ -68,7 +69,7 @@
 
 // mustDetour reports whether the run's requests to upstreams go by way of a peer. A peer
 // does not pass on what it was sent that way.
-func (r *run) mustDetour() bool { return r.hops == 0 && r.engine.links.isCut() }
+func (r *run) mustDetour() bool { return r.hops == 0 && r.engine.links.IsCut() }
 
 // canDetour reports whether a peer may be able to reach the upstreams.
 func (r *run) canDetour() bool {
@@ -76,7 +77,7 @@
 }
 
 // canServe reports whether the run may reach upstreams although this node is cut off.
-func (r *run) canServe() bool { return r.engine.links.hasLive() || r.canDetour() }
+func (r *run) canServe() bool { return r.engine.links.HasLive() || r.canDetour() }
 
 // detour returns the group for the next attempt of a leg that has been tried by way of the
 // given upstreams, or nil if no other peer is usable. Legs that are sent at the same time
@@ -114,7 +115,7 @@
 // off: those that have sent nothing, and those that may be repeated unless connections still
 // carry answers. They are then sent by way of a peer.
 func (r *run) leaveUpstreams() {
-	live := time.Since(time.Unix(0, r.engine.links.answeredAt.Load())) < silenceInterval
+	live := time.Since(r.engine.links.AnsweredAt()) < links.SilenceInterval
 	for _, a := range r.attempts {
 		if !a.sending() || r.plan.Idempotent && !live {
 			a.cancel()
--- a/internal/relay/do.go
+++ b/internal/relay/do.go
@@ -89,7 +89,7 @@
 		return proto.Refused{Reason: "deadline has passed"}
 	}
 	if r.mustDetour() && !r.canServe() {
-		r.engine.links.awaitEnd(ctx, r.plan.SoftDeadline.Sub(now)/awaitEndDivisor)
+		r.engine.links.AwaitEnd(ctx, r.plan.SoftDeadline.Sub(now)/awaitEndDivisor)
 	}
 	if reject, ok := r.admission(now).(admit.Reject); ok {
 		r.verdict = "rejected"
@@ -112,7 +112,7 @@
 	}
 	decision := admit.Decide(expected, r.plan.MinAnswered, r.plan.SoftDeadline.Sub(now))
 	if reject, ok := decision.(admit.Reject); ok {
-		if r.engine.links.isCut() {
+		if r.engine.links.IsCut() {
 			reject.RetryAfter = max(reject.RetryAfter, cutRetryAfter)
 			return reject
 		}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -21,6 +21,7 @@
 	"github.com/sirupsen/logrus"
 
 	"geraniumstep.org/geraniumstep/internal/link"
+	"geraniumstep.org/geraniumstep/internal/links"
 	"geraniumstep.org/geraniumstep/internal/memory"
 	"geraniumstep.org/geraniumstep/internal/proto"
 	"geraniumstep.org/geraniumstep/internal/tasks"
@@ -70,7 +71,7 @@
 	// reachable reports whether anything but upstreams has been heard of since a time.
 	reachable func(since time.Time) bool
 	// links is what is known of this node's links to the upstreams.
-	links *links
+	links *links.Links
 	// lastHeard is the last response of any upstream, or nil.
 	lastHeard atomic.Pointer[heard]
 	metrics   *metrics
@@ -174,7 +175,6 @@
 		lead: defaultLead, canaryMode: canary.OnAlert, memory: memory.New(defaultMemoryBytes), tracker: poison.New(), share: func([]poison.Report) {}, quarantined: func(poison.Fingerprint) {},
 		reachable: func(time.Time) bool { return false }, shareLimit: func(quota.News) {},
 	}
-	e.links = newLinks(e)
 	e.nodes.Store(1)
 	e.restart.Store(int64(initialRestart))
 	e.gatherers.Store(1)
@@ -184,12 +184,14 @@
 	for _, opt := range opts {
 		opt(e)
 	}
+	e.links = links.New(linked{e}, links.WithLog(e.log), links.WithChanged(e.linksChanged))
 	return e
 }
 
 // Close cancels all requests in flight and waits until they have ended.
 func (e *Engine) Close() {
 	e.stop()
+	e.links.Close()
 	e.tasks.Wait()
 	for _, u := range e.upstreams.Load().byID {
 		u.pool.Close()
--- a/internal/relay/gatherer.go
+++ b/internal/relay/gatherer.go
@@ -43,7 +43,7 @@
 	start := time.Now()
 	g.engine.peerCalls.Add(1)
 	defer g.engine.peerCalls.Add(-1)
-	if g.engine.links.isCut() {
+	if g.engine.links.IsCut() {
 		reply.NotRun, reply.Cut = true, true
 		return nil
 	}
@@ -136,7 +136,7 @@
 }
 
 func (r *run) reply(reply *GatherReply) {
-	reply.Cut = r.engine.links.isCut()
+	reply.Cut = r.engine.links.IsCut()
 	m := topk.New(r.topK)
 	for _, g := range r.groups {
 		if !g.answered {
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -63,7 +63,7 @@
 	if !ok {
 		return 0, true
 	}
-	if r.engine.links.isCut() && !r.canServe() {
+	if r.engine.links.IsCut() && !r.canServe() {
 		return 0, false
 	}
 	return r.shortestWait(p)
@@ -115,7 +115,7 @@
 	if !ok {
 		return 0, false
 	}
-	if r.engine.links.isCut() && !r.engine.links.hasLive() {
+	if r.engine.links.IsCut() && !r.engine.links.HasLive() {
 		return 0, r.canDetour() // a peer decides by its own view of the queues
 	}
 	if r.gather && p.live(now) == 0 {
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -110,7 +110,7 @@
 	r.planGroups()
 	r.planCanary()
 	r.machine = fanout.New(r.plan, r)
-	cut := r.engine.links.cutSignal()
+	cut := r.engine.links.CutSignal()
 	timer := time.NewTimer(time.Until(r.plan.Deadline))
 	defer timer.Stop()
 	outcome, finished := r.apply(fanout.Start{})
@@ -169,7 +169,7 @@
 		return fanout.Answered{Attempt: d.attempt.number}
 	}
 	r.lastCause = d.cause
-	d.broken = d.broken && !r.engine.links.isCut()
+	d.broken = d.broken && !r.engine.links.IsCut()
 	if d.broken {
 		r.broken = append(r.broken, d.attempt.upstream)
 	}
@@ -206,7 +206,7 @@
 	} else {
 		r.extras++
 	}
-	r.engine.links.watch()
+	r.engine.links.Watch()
 	r.engine.metrics.sends.WithLabelValues(s.Reason.String()).Inc()
 	a.upstream.stats.Begin()
 	// A closed engine starts no goroutine, and execute returns.
