front, node: another node takes the place of a front that is cut off

Callers saw, with serve: a node that reaches no upstream is the front of some, and all callers' shard requests to those waited for it. Change: the front watches its links (internal/links), gives shard requests back at once while it is cut off, and ends those that wait; the sender takes the next candidate, of another failure domain if need be. A refusal counts as a crash only while other upstreams can be connected to. The demo can strand nodes (--fault stranded); the count of faults in TestFaultNames follows.

--- a/internal/demo/check_test.go
+++ b/internal/demo/check_test.go
@@ -183,7 +183,7 @@
 	if _, err := ParseFaults("earthquake"); err == nil {
 		t.Error("ParseFaults() of an unknown fault = nil, want an error")
 	}
-	if got, want := fmt.Sprint(len(FaultNames())), "18"; got != want {
+	if got, want := fmt.Sprint(len(FaultNames())), "19"; got != want {
 		t.Errorf("number of faults = %s, want %s", got, want)
 	}
 }
@@ -196,6 +196,7 @@
 		{"karatasi", "crossed,reindex"},
 		{"villakude", "crash-node,lost-reply"},
 		{"karatasi", "poison,drain"},
+		{"villakude", "stranded"},
 	} {
 		t.Run(c.deployment+" "+c.faults, func(t *testing.T) {
 			faults, err := ParseFaults(c.faults)
--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -50,6 +50,7 @@
 		"partition":    in.partition,
 		"conflict":     in.conflict,
 		"health-lies":  in.healthLies,
+		"stranded":     in.stranded,
 	}
 }
 
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -124,6 +124,7 @@
 		}
 		u.SkipColdStart()
 		f.network.AddHost(host, f.deployment.domains[domain])
+		f.network.AddServer(host)
 		f.upstreams[id] = u
 		f.byArchive[a.name] = append(f.byArchive[a.name], u)
 		ids = append(ids, id)
--- a/internal/demo/vmfaults.go
+++ b/internal/demo/vmfaults.go
@@ -101,6 +101,28 @@
 	}
 }
 
+// stranded cuts most nodes off from all upstreams, and then reconnects them.
+func (in *injector) stranded(ctx context.Context) {
+	const cutTime, gap = 4 * time.Second, 3 * time.Second
+	for n := 0; ctx.Err() == nil; n++ {
+		var cut []*entry
+		for i, e := range in.fleet.entries {
+			if (i+n)%3 != 0 {
+				cut = append(cut, e)
+				in.fleet.network.Strand(e.host, true)
+			}
+		}
+		wait(ctx, cutTime)
+		for _, e := range cut {
+			in.fleet.network.Strand(e.host, false)
+		}
+		if in.fleet.network.BlockedCount() > 0 {
+			in.markApplied("stranded")
+		}
+		wait(ctx, gap)
+	}
+}
+
 // conflict sends concurrent changes by two operators to one object, both based on
 // the same revision. At most one may be accepted.
 func (in *injector) conflict(ctx context.Context) {
--- a/internal/fakes/network.go
+++ b/internal/fakes/network.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -16,6 +17,8 @@
 	delays       map[[2]string]time.Duration
 	cuts         map[[2]string]bool
 	frozen       map[string]bool
+	servers      map[string]bool
+	stranded     map[string]bool
 	changed      chan struct{}
 	blockedCount int64
 }
@@ -27,6 +30,7 @@
 		delays:  make(map[[2]string]time.Duration),
 		cuts:    make(map[[2]string]bool),
 		frozen:  make(map[string]bool),
+		servers: make(map[string]bool), stranded: make(map[string]bool),
 		changed: make(chan struct{}),
 	}
 }
@@ -62,6 +66,21 @@
 	n.notifyChange()
 }
 
+// AddServer marks a host as an upstream.
+func (n *Network) AddServer(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.servers[host] = true
+}
+
+// Strand blocks all traffic between a host and the upstreams, or unblocks it.
+func (n *Network) Strand(host string, stranded bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stranded[host] = stranded
+	n.notifyChange()
+}
+
 // notifyChange wakes all goroutines that wait for traffic to be unblocked. It must
 // be called with mu held.
 func (n *Network) notifyChange() {
@@ -83,7 +102,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	pair := [2]string{n.groups[from], n.groups[to]}
-	blocked := n.cuts[pair] || n.frozen[from] || n.frozen[to]
+	blocked := n.cuts[pair] || n.frozen[from] || n.frozen[to] || n.stranded[from] && n.servers[to]
 	if blocked {
 		n.blockedCount++
 	}
@@ -129,25 +148,56 @@
 		return nil, err
 	}
 	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(h.ip)}}
+	if err := h.network.await(ctx.Done(), h.ip, to); err != nil {
+		return nil, err
+	}
+	conn, err := dialer.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
 	if h.direct(to) {
-		return dialer.DialContext(ctx, network, addr)
+		return &directConn{Conn: conn, network: h.network, from: h.ip, to: to, done: make(chan struct{})}, nil
 	}
+	return newLinkConn(conn, h.network, h.ip, to), nil
+}
+
+// await waits until traffic between the hosts is not blocked, or done is closed.
+func (n *Network) await(done <-chan struct{}, from, to string) error {
 	for {
-		blocked, changed := h.network.blocked(h.ip, to)
+		blocked, changed := n.blocked(from, to)
 		if !blocked {
-			break
+			return nil
 		}
 		select {
 		case <-changed:
-		case <-ctx.Done():
-			return nil, ctx.Err()
+		case <-done:
+			return os.ErrDeadlineExceeded
 		}
 	}
-	conn, err := dialer.DialContext(ctx, network, addr)
-	if err != nil {
-		return nil, err
+}
+
+// directConn is a connection without delays, on which nothing is sent while traffic is
+// blocked.
+type directConn struct {
+	net.Conn
+	network  *Network
+	from, to string
+	done     chan struct{}
+	once     sync.Once
+}
+
+// Write implements net.Conn.
+func (c *directConn) Write(b []byte) (int, error) {
+	if err := c.network.await(c.done, c.from, c.to); err != nil {
+		return 0, net.ErrClosed
 	}
-	return newLinkConn(conn, h.network, h.ip, to), nil
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *directConn) Close() error {
+	c.once.Do(func() { close(c.done) })
+	return c.Conn.Close()
 }
 
 // ListenPacket opens a datagram socket that drops blocked datagrams. Datagrams
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"geraniumstep.org/geraniumstep/internal/peer"
@@ -55,28 +54,32 @@
 	if err != nil {
 		return peer.ShardReply{Cause: search.CauseInvalid, Unsent: true}, gate.OutcomeCanceled
 	}
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	ctx, o, end := d.track(ctx, shardReq)
+	defer end()
+	sent := time.Now()
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { o.connected.Store(true) }}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, d.url(wire.PathRun), bytes.NewReader(body))
 	if err != nil {
 		return peer.ShardReply{Cause: search.CauseInvalid, Unsent: true}, gate.OutcomeCanceled
 	}
 	res, err := d.client.Do(req)
 	if err != nil {
-		return d.connectionError(ctx, err, !connected.Load()), gate.OutcomeCanceled
+		return d.connectionError(ctx, err, !o.connected.Load(), sent), gate.OutcomeCanceled
 	}
-	return d.read(ctx, res, shardReq)
+	d.heard()
+	d.stats.Answered(time.Since(sent))
+	return d.read(ctx, res, shardReq, sent)
 }
 
 func (d *dispatcher) url(path string) string {
 	return d.front.scheme + "://" + d.upstream.Addr() + path
 }
 
-func (d *dispatcher) read(ctx context.Context, res *http.Response, shardReq *peer.ShardRequest) (peer.ShardReply, gate.Outcome) {
+func (d *dispatcher) read(ctx context.Context, res *http.Response, shardReq *peer.ShardRequest, sent time.Time) (peer.ShardReply, gate.Outcome) {
 	defer res.Body.Close()
 	data, err := readAll(res.Body)
 	if err != nil {
-		return d.connectionError(ctx, err, false), gate.OutcomeCanceled
+		return d.connectionError(ctx, err, false, sent), gate.OutcomeCanceled
 	}
 	if res.StatusCode != http.StatusOK {
 		return d.rejected(res, shardReq)
@@ -130,13 +133,17 @@
 
 // connectionError classifies a failed call as a timeout, a crash of the upstream
 // or a broken connection. If the upstream has crashed but nothing was sent to it,
-// the cause is CauseDraining, which proves that the request did not run.
-func (d *dispatcher) connectionError(ctx context.Context, err error, unsent bool) peer.ShardReply {
+// the cause is CauseDraining, which proves that the request did not run. sent is when the
+// call began.
+func (d *dispatcher) connectionError(ctx context.Context, err error, unsent bool, sent time.Time) peer.ShardReply {
+	if errors.Is(context.Cause(ctx), errCut) || unsent && d.front.links.IsCut() {
+		return cutReply(unsent)
+	}
 	if ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded) {
 		return peer.ShardReply{Cause: search.CauseTimeout, Unsent: unsent}
 	}
 	suspects := d.crashSuspects()
-	if d.crashed(suspects) {
+	if d.crashed(suspects, sent) {
 		cause := search.CauseCrashed
 		if unsent {
 			cause = search.CauseDraining
--- a/internal/front/dispatcher.go
+++ b/internal/front/dispatcher.go
@@ -12,6 +12,7 @@
 	"geraniumstep.org/geraniumstep/pkg/gate"
 	"geraniumstep.org/geraniumstep/pkg/layout"
 	"geraniumstep.org/geraniumstep/pkg/life"
+	"geraniumstep.org/geraniumstep/pkg/place"
 	"geraniumstep.org/geraniumstep/pkg/poison"
 	"geraniumstep.org/geraniumstep/pkg/search"
 )
@@ -30,6 +31,12 @@
 	life      *life.Upstream
 	gate      *gate.Shared
 	lastUsed  atomic.Int64
+	// stats holds the calls in flight and the last answer, and heardAt when the upstream
+	// last responded, in nanoseconds since 1970.
+	stats   *place.Stats
+	heardAt atomic.Int64
+	// calls holds the calls in progress (*outgoing).
+	calls sync.Map
 	// reportsDrain is set while the health endpoint reports a drain, and
 	// drainFromHealth while the current drain is based on that report alone.
 	reportsDrain    atomic.Bool
@@ -61,7 +68,6 @@
 	slots := f.slots(u)
 	conns := max(min(slots+spareConns, u.Conns()/f.claimants), 1)
 	t := &http.Transport{
-		DialContext:         f.dial,
 		MaxConnsPerHost:     conns,
 		MaxIdleConnsPerHost: conns,
 		DisableCompression:  true,
@@ -79,7 +85,9 @@
 		gate:      gate.NewShared(opts...),
 		running:   make(map[uint64]poison.Run),
 		canceled:  make(map[poison.Fingerprint]canceledRun),
+		stats:     place.NewStats(place.SameDomain, slots, time.Time{}),
 	}
+	t.DialContext = d.dial
 	d.life = life.NewUpstream(d.onStateChange)
 	d.lastUsed.Store(time.Now().UnixNano())
 	return d
@@ -96,7 +104,9 @@
 	sent := time.Now()
 	d.front.counter.sent.Add(1)
 	d.begin(ticket.ID(), shardReq.Fingerprint)
+	d.stats.Begin()
 	reply, outcome := d.call(ctx, shardReq)
+	d.stats.End()
 	d.end(ticket.ID(), shardReq.Fingerprint, ctx.Err() != nil)
 	reply.Wait = sent.Sub(enqueued)
 	reply.Service = time.Since(sent)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,6 +17,7 @@
 	"github.com/oklog/run"
 	"github.com/sirupsen/logrus"
 
+	"geraniumstep.org/geraniumstep/internal/links"
 	"geraniumstep.org/geraniumstep/internal/peer"
 	"geraniumstep.org/geraniumstep/pkg/gate"
 	"geraniumstep.org/geraniumstep/pkg/layout"
@@ -47,6 +48,8 @@
 	scheme    string
 	transport func(*http.Transport)
 
+	links *links.Links
+
 	dispatchers sync.Map // upstream identifier to *dispatcher
 	drains      sync.Map // upstream identifier to the start time of the draining incarnation
 	nextID      atomic.Uint64
@@ -126,6 +129,7 @@
 	for _, opt := range opts {
 		opt(f)
 	}
+	f.links = links.New(linked{f}, links.WithLog(f.log), links.WithChanged(f.linksChanged))
 	return f
 }
 
@@ -138,6 +142,9 @@
 	if rejection, rejected := f.checkPoison(shardReq); rejected {
 		return rejection
 	}
+	if f.IsCut() {
+		return cutReply(true)
+	}
 	d, ok := f.dispatcher(shardReq.Upstream)
 	if !ok {
 		return peer.ShardReply{Cause: search.CauseVersionGone, Unsent: true}
@@ -247,6 +254,7 @@
 		select {
 		case <-ctx.Done():
 			f.closeIdleConnections()
+			f.links.Close()
 			return nil
 		case <-ticker.C:
 			f.pollOnce(ctx)
--- a/internal/front/health.go
+++ b/internal/front/health.go
@@ -30,8 +30,9 @@
 // the health endpoint alone ends when the endpoint no longer reports it or such drains
 // are no longer credible.
 func (d *dispatcher) checkHealth(ctx context.Context) error {
+	sent := time.Now()
 	h, err := d.fetchHealth(ctx)
-	if err != nil && refusedOrReset(err) && d.life.State() == life.UpstreamServing {
+	if err != nil && d.life.State() == life.UpstreamServing && d.showsEnd(ctx, err, sent) {
 		d.recordCrash(d.incarnation(), d.crashSuspects())
 	}
 	if err != nil || d.observeIncarnation(h.Started) {
@@ -70,6 +71,7 @@
 		return h, err
 	}
 	defer res.Body.Close()
+	d.heard()
 	data, err := readAll(res.Body)
 	if err != nil {
 		return h, err
@@ -165,8 +167,9 @@
 
 // crashed requests the health of the upstream after a connection to it has broken,
 // and reports whether it has crashed: the connection is refused or reset, or the
-// incarnation is a new one. It records the crash with its suspects.
-func (d *dispatcher) crashed(suspects []poison.Run) bool {
+// incarnation is a new one. It records the crash with its suspects. sent is when the call
+// that broke began.
+func (d *dispatcher) crashed(suspects []poison.Run, sent time.Time) bool {
 	before := d.incarnation()
 	ctx, cancel := context.WithTimeout(context.Background(), healthTimeout)
 	defer cancel()
@@ -177,7 +180,7 @@
 		return false
 	case err == nil && h.Started <= before:
 		return false
-	case err != nil && !refusedOrReset(err):
+	case err != nil && !d.showsEnd(ctx, err, sent):
 		return false
 	}
 	d.recordCrash(before, suspects)
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -9,6 +9,7 @@
 
 	"geraniumstep.org/geraniumstep/internal/peer"
 	"geraniumstep.org/geraniumstep/pkg/layout"
+	"geraniumstep.org/geraniumstep/pkg/member"
 	"geraniumstep.org/geraniumstep/pkg/search"
 )
 
@@ -17,6 +18,10 @@
 	// excludeTime is how long a node is excluded from routing after it has refused
 	// a connection, which shows that its process is gone.
 	excludeTime = 3 * time.Second
+	// cutTime is how long a node that is cut off from the upstreams is no front. Then a
+	// request shows whether it still is. maxFronts bounds the fronts that one tries.
+	cutTime   = time.Second
+	maxFronts = 5
 )
 
 // dispatch sends a shard request through the front of its upstream, which is the
@@ -26,16 +31,45 @@
 	if n.settings.Routing.Mode != modeFront {
 		return n.front.Do(ctx, shardReq)
 	}
-	owner, ok := n.view.Load().Front(u)
-	switch {
-	case !ok:
-		return peer.ShardReply{Cause: search.CauseBroken, Unsent: true}
-	case owner.VM == n.settings.VM:
+	v := n.view.Load()
+	owner, ok := v.Front(u)
+	for range maxFronts {
+		if ok && n.isCut(owner.VM) {
+			owner, ok = v.Substitute(u, n.isCut)
+		}
+		if !ok {
+			break
+		}
+		reply := n.dispatchTo(ctx, owner, shardReq)
+		if reply.Cause != search.CauseCut || ctx.Err() != nil {
+			return reply
+		}
+		n.cutNodes.Store(owner.VM, time.Now())
+	}
+	return peer.ShardReply{Cause: search.CauseBroken, Unsent: true}
+}
+
+// dispatchTo sends a shard request through a front.
+func (n *Node) dispatchTo(ctx context.Context, owner member.Record, shardReq *peer.ShardRequest) peer.ShardReply {
+	if owner.VM == n.settings.VM {
 		return n.front.Do(ctx, shardReq)
 	}
 	return n.forward(ctx, owner.Addr, shardReq)
 }
 
+// isCut reports whether the node is known to be cut off from the upstreams.
+func (n *Node) isCut(vm string) bool {
+	if vm == n.settings.VM {
+		return n.front.IsCut()
+	}
+	at, ok := n.cutNodes.Load(vm)
+	if ok && time.Since(at.(time.Time)) > cutTime {
+		n.cutNodes.Delete(vm)
+		return false
+	}
+	return ok
+}
+
 // forward sends a shard request to another node. When ctx or the budget of the
 // request ends first, it cancels the request at that node.
 func (n *Node) forward(ctx context.Context, addr string, shardReq *peer.ShardRequest) peer.ShardReply {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,6 +78,7 @@
 	submissions *submit.Executor
 	remote      remoteRuns
 	excluded    sync.Map // inner address to time of exclusion (time.Time)
+	cutNodes    sync.Map // VM to the time at which it was found cut off (time.Time)
 	registry    *prometheus.Registry
 	metrics     *metrics
 	random      *random.Source
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -90,6 +90,24 @@
 	return v.members[name], true
 }
 
+// Substitute returns the node that takes the place of a front that is cut off from the
+// upstreams: the best other candidate of the upstream's failure domain, or a ready node of
+// another domain. It reports false if all are cut off.
+func (v *View) Substitute(u *layout.Upstream, isCut func(vm string) bool) (member.Record, bool) {
+	for _, candidates := range [][]string{v.Candidates(u.Domain()), v.ready} {
+		var left []string
+		for _, name := range candidates {
+			if !v.unreachable[v.members[name].Domain] && !isCut(name) {
+				left = append(left, name)
+			}
+		}
+		if name := route.Owner(u.ID(), left); name != "" {
+			return v.members[name], true
+		}
+	}
+	return member.Record{}, false
+}
+
 // Candidates returns the nodes of a domain that may be the front of an upstream: the
 // ready ones, or all live ones when none is ready.
 func (v *View) Candidates(domain string) []string {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -57,6 +57,31 @@
 	}
 }
 
+// A front that is cut off from the upstreams must be replaced by a node that is not, in the
+// upstream's failure domain if there is one, and by the same one on all nodes.
+func TestCutFrontIsSubstituted(t *testing.T) {
+	c, err := layout.New(fleetSpec(60))
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := New(records(36, 12), allReachable)
+	for _, u := range c.Upstreams() {
+		front, _ := v.Front(u)
+		one, ok := v.Substitute(u, func(vm string) bool { return vm == front.VM })
+		if !ok || one.VM == front.VM || one.Domain != u.Domain() {
+			t.Errorf("Substitute(%s) for one node = %+v %v, want another node of %s", u.ID(), one, ok, u.Domain())
+		}
+		isCut := func(vm string) bool { r, _ := v.Member(vm); return r.Domain == u.Domain() }
+		other, ok := v.Substitute(u, isCut)
+		if again, _ := v.Substitute(u, isCut); !ok || other.Domain == u.Domain() || again.VM != other.VM {
+			t.Errorf("Substitute(%s) for a domain = %+v %v, want always the same node of another one", u.ID(), other, ok)
+		}
+		if _, ok := v.Substitute(u, func(string) bool { return true }); ok {
+			t.Errorf("Substitute(%s) = true although all nodes are cut off", u.ID())
+		}
+	}
+}
+
 func TestUnreachableDomainHasNoFront(t *testing.T) {
 	c, err := layout.New(fleetSpec(60))
 	if err != nil {
--- a/pkg/search/faults.go
+++ b/pkg/search/faults.go
@@ -29,7 +29,7 @@
 		return
 	}
 	sh.excluded = append(sh.excluded, upstream)
-	sh.unreachable = ev.Cause == CauseUnreachable
+	sh.unreachable = ev.Cause == CauseUnreachable || ev.Cause == CauseCut
 	if len(sh.inFlight) > 0 {
 		return
 	}
@@ -101,7 +101,7 @@
 // retry budget.
 func (s *Search) mayRetryNow(cause Cause) bool {
 	switch cause {
-	case CauseDraining, CauseVersionGone, CauseUnreachable:
+	case CauseDraining, CauseVersionGone, CauseUnreachable, CauseCut:
 		return true
 	}
 	return s.deps.TakeRetry()
--- a/pkg/search/types.go
+++ b/pkg/search/types.go
@@ -93,12 +93,13 @@
 	CauseQuarantined              // request quarantined
 	CauseInvalid                  // reply invalid
 	CauseUnreachable              // upstream unreachable
+	CauseCut                      // front cut off from the upstreams
 )
 
 // notRun reports whether the cause proves that no upstream ran the attempt.
 func (c Cause) notRun() bool {
 	switch c {
-	case CauseRefused, CauseDraining, CauseShed, CauseVersionGone, CauseQuarantined, CauseUnreachable:
+	case CauseRefused, CauseDraining, CauseShed, CauseVersionGone, CauseQuarantined, CauseUnreachable, CauseCut:
 		return true
 	}
 	return false
