relay: what an upstream says of itself is respected

Callers lost little. Cause: nothing read the two headers; the registry, which says the same of leaving, was unavailable. Class: a second source of a fact that is ignored while the first one works. Change: the platform's dialect decodes them, pkg/advice holds them for each incarnation, and placing, admission, hedges, canaries and probes ask it; it is asked again right before a request is written, for those that had waited for a slot. Leaving is told to all nodes, a rest is asked of one. Nodes return after a rest one after the other. If all upstreams of a service decline, requests are rejected at once, until the earliest end of a rest.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"geraniumstep.org/geraniumstep/internal/relay"
 	"geraniumstep.org/geraniumstep/internal/setup"
 	"geraniumstep.org/geraniumstep/internal/tasks"
+	"geraniumstep.org/geraniumstep/pkg/advice"
 	"geraniumstep.org/geraniumstep/pkg/canary"
 	"geraniumstep.org/geraniumstep/pkg/gather"
 	"geraniumstep.org/geraniumstep/pkg/life"
@@ -112,6 +113,7 @@
 		relay.WithQuarantined(d.saveQuarantine),
 		relay.WithReachable(d.heardSince),
 		relay.WithLimitNews(d.shareLimit),
+		relay.WithLeavingNews(d.shareLeaving),
 		relay.WithRegistry(d.registry),
 	)
 	d.engine.SetNodes(b.Nodes, b.Nodes)
@@ -142,7 +144,7 @@
 	d.self = self
 	d.mesh = mesh.New(self, l, packets, d.state, link.Dial,
 		mesh.WithSeeds(d.settings.Peers), mesh.WithFirstStart(d.settings.FirstStart), mesh.WithLog(d.log), mesh.WithChanged(d.membersChanged),
-		mesh.WithService(relay.GatherService, d.engine.Gatherer()), mesh.WithEvidence(crashEvidence{Tracker: d.crashes, engine: d.engine}), mesh.WithLimits(d.engine.LearnLimit))
+		mesh.WithService(relay.GatherService, d.engine.Gatherer()), mesh.WithEvidence(crashEvidence{Tracker: d.crashes, engine: d.engine}), mesh.WithLimits(d.engine.LearnLimit), mesh.WithLeaving(d.engine.LearnLeaving))
 	d.state.publish, d.state.bestStoreAge, d.state.restored = d.mesh.Publish, d.mesh.BestStoreAge, d.storeRestored
 	return nil
 }
@@ -153,6 +155,9 @@
 // shareLimit sends news of an upstream's limit to the other nodes.
 func (d *Daemon) shareLimit(n quota.News) { d.mesh.ShareLimit(n) }
 
+// shareLeaving tells the other nodes that an upstream leaves.
+func (d *Daemon) shareLeaving(n advice.News) { d.mesh.ShareLeaving(n) }
+
 // heardSince reports whether another node or the store has been heard of since the time.
 func (d *Daemon) heardSince(t time.Time) bool {
 	return d.mesh.HeardSince(t) || time.Since(t) > d.state.StoreAge()
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -15,6 +15,7 @@
 
 	"geraniumstep.org/geraniumstep/internal/peer"
 	"geraniumstep.org/geraniumstep/internal/tasks"
+	"geraniumstep.org/geraniumstep/pkg/advice"
 	"geraniumstep.org/geraniumstep/pkg/member"
 	"geraniumstep.org/geraniumstep/pkg/quota"
 )
@@ -77,6 +78,7 @@
 	changed      func(records []member.Record)
 	evidence     Evidence
 	learnLimit   func(quota.News) bool
+	learnLeaving func(advice.News) bool
 
 	mu         sync.Mutex
 	tracker    *member.Tracker
@@ -143,7 +145,7 @@
 	m := &Mesh{
 		self: self, listener: l, packets: packets, state: state,
 		log: logrus.NewEntry(logrus.StandardLogger()), peers: peer.NewPeers(dial), calls: peer.NewPeers(dial), server: rpc.NewServer(),
-		startupDelay: startupDelay, changed: func([]member.Record) {}, learnLimit: func(quota.News) bool { return false }, heartbeats: make(map[string]receivedHeartbeat), conns: make(map[net.Conn]bool),
+		startupDelay: startupDelay, changed: func([]member.Record) {}, learnLimit: func(quota.News) bool { return false }, learnLeaving: func(advice.News) bool { return false }, heartbeats: make(map[string]receivedHeartbeat), conns: make(map[net.Conn]bool),
 	}
 	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	m.tracker = member.New(self, source,
@@ -293,6 +295,9 @@
 		if d.Limit != nil {
 			m.receiveLimit(*d.Limit)
 		}
+		if d.Leaving != nil {
+			m.receiveLeaving(*d.Leaving)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/mesh/news.go
@@ -0,0 +1,68 @@
+package mesh
+
+import (
+	"geraniumstep.org/geraniumstep/pkg/advice"
+	"geraniumstep.org/geraniumstep/pkg/quota"
+)
+
+// limitNews carries news of one upstream's limit between nodes.
+type limitNews struct {
+	News quota.News `msgpack:"n"`
+	// Forward asks the receiver to pass the news on within its failure domain.
+	Forward bool `msgpack:"w,omitempty"`
+}
+
+// leavingNews carries the news that an upstream leaves.
+type leavingNews struct {
+	News    advice.News `msgpack:"n"`
+	Forward bool        `msgpack:"w,omitempty"`
+}
+
+// WithLimits sets the function that receives news of limits. It reports whether they were
+// new. By default they are ignored.
+func WithLimits(learn func(quota.News) bool) Option { return func(m *Mesh) { m.learnLimit = learn } }
+
+// WithLeaving sets the function that receives the news that an upstream leaves. It reports
+// whether it was new. By default it is ignored.
+func WithLeaving(learn func(advice.News) bool) Option {
+	return func(m *Mesh) { m.learnLeaving = learn }
+}
+
+// ShareLimit sends news of a limit to all nodes.
+func (m *Mesh) ShareLimit(n quota.News) {
+	m.shareNews(func(forward bool) datagram { return datagram{Limit: &limitNews{News: n, Forward: forward}} })
+}
+
+// ShareLeaving sends the news that an upstream leaves to all nodes.
+func (m *Mesh) ShareLeaving(n advice.News) {
+	m.shareNews(func(forward bool) datagram { return datagram{Leaving: &leavingNews{News: n, Forward: forward}} })
+}
+
+// shareNews sends a message to all nodes: directly within the failure domain, and to some
+// nodes of each other domain, which forward it. Lost news are repeated by the upstream's next
+// answer to a node that has not received them.
+func (m *Mesh) shareNews(message func(forward bool) datagram) {
+	m.sendNews(message)
+	for _, r := range m.remoteMembers(remoteForwarders) {
+		m.send(r.Gossip, message(true))
+	}
+}
+
+// sendNews sends a message to the other nodes of the failure domain.
+func (m *Mesh) sendNews(message func(forward bool) datagram) {
+	for _, r := range m.domainMembers() {
+		m.send(r.Gossip, message(false))
+	}
+}
+
+func (m *Mesh) receiveLimit(l limitNews) {
+	if m.learnLimit(l.News) && l.Forward {
+		m.sendNews(func(bool) datagram { return datagram{Limit: &limitNews{News: l.News}} })
+	}
+}
+
+func (m *Mesh) receiveLeaving(l leavingNews) {
+	if m.learnLeaving(l.News) && l.Forward {
+		m.sendNews(func(bool) datagram { return datagram{Leaving: &leavingNews{News: l.News}} })
+	}
+}
--- a/internal/mesh/types.go
+++ b/internal/mesh/types.go
@@ -65,13 +65,14 @@
 	StoreFailing time.Duration `msgpack:"f,omitempty"`
 }
 
-// datagram is one UDP message: a membership message, a heartbeat, crash reports or news of a
-// limit.
+// datagram is one UDP message: a membership message, a heartbeat, crash reports, news of a
+// limit or the news that an upstream leaves.
 type datagram struct {
 	Message   *member.Message `msgpack:"m,omitempty"`
 	Heartbeat *heartbeat      `msgpack:"b,omitempty"`
 	Crashes   *crashReports   `msgpack:"c,omitempty"`
 	Limit     *limitNews      `msgpack:"l,omitempty"`
+	Leaving   *leavingNews    `msgpack:"v,omitempty"`
 }
 
 // Views carries a full membership view.
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"geraniumstep.org/geraniumstep/internal/memory"
+	"geraniumstep.org/geraniumstep/pkg/advice"
 	"geraniumstep.org/geraniumstep/pkg/quota"
 )
 
@@ -109,6 +110,8 @@
 	Running, Waiting int
 	// Limit is the rate of requests that the upstream accepts from all nodes.
 	Limit quota.Limit
+	// Advice is what the upstream says of itself.
+	Advice advice.Advice
 }
 
 // Dialect reads and writes the headers of callers and upstreams.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -145,6 +145,10 @@
 		u.pool.Release(c)
 		return attemptDone{attempt: a, notRun: true, unsent: true, cause: "quarantined"}, gate.OutcomeCanceled
 	}
+	if !u.advice.Accepts(time.Now()) {
+		u.pool.Release(c)
+		return attemptDone{attempt: a, notRun: true, unsent: true, cause: "declined"}, gate.OutcomeCanceled
+	}
 	if !a.setConn(c) || !r.permits.acquire() {
 		u.pool.Release(c)
 		return attemptDone{attempt: a, notRun: true, unsent: true, cause: "finished"}, gate.OutcomeCanceled
@@ -218,6 +222,7 @@
 	if !res.Reply().Moved {
 		r.engine.heardFrom(a.upstream)
 		r.engine.heardLimit(a.upstream, res.Reply().Limit)
+		r.engine.heardAdvice(a.upstream, res.Reply().Advice)
 	}
 	if res.Reply().HasLoad {
 		stats.LoadReported(res.Reply().Running, res.Reply().Waiting)
--- a/internal/relay/canary.go
+++ b/internal/relay/canary.go
@@ -123,7 +123,7 @@
 	l := canaryLeg{distance: place.OtherRegion, spare: p.shard(now).Live > 1}
 	usable := 0
 	for k, s := range p.stats {
-		if p.upstreams[k].down.isSet(now) || s.Excluded(now) {
+		if !p.upstreams[k].isLive(now) {
 			continue
 		}
 		usable++
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -299,6 +299,9 @@
 
 // tryProbe probes the upstream. The connection is then available to requests.
 func (e *Engine) tryProbe(u *upstream) crash.Result {
+	if u.advice.RestLeft(time.Now()) > 0 {
+		return crash.Inconclusive
+	}
 	ctx, cancel := context.WithTimeout(e.baseCtx, probeTimeout)
 	defer cancel()
 	c, err := u.pool.Open(ctx)
@@ -335,6 +338,7 @@
 	if id := res.Reply().Upstream; id != "" && id != u.entry.ID() {
 		return crash.Replaced
 	}
+	e.heardAdvice(u, res.Reply().Advice)
 	return crash.Responded
 }
 
--- a/internal/relay/down.go
+++ b/internal/relay/down.go
@@ -64,25 +64,33 @@
 func (s *serviceUpstreams) shard(now time.Time) canary.Shard {
 	n := 0
 	for _, u := range s.upstreams {
-		if !u.down.isSet(now) && !u.down.isUncertain(now) && !u.stats.Excluded(now) {
+		if !u.down.isUncertain(now) && u.isLive(now) {
 			n++
 		}
 	}
 	return canary.Shard{Listed: len(s.upstreams), Live: n}
 }
 
-// live returns the number of upstreams that are not known to be down.
-func (s *serviceUpstreams) live(now time.Time) int {
+// isUp reports whether the upstream is not known to be down.
+func (u *upstream) isUp(now time.Time) bool { return !u.down.isSet(now) && !u.stats.Excluded(now) }
+
+// isLive reports whether the upstream is up and accepts requests.
+func (u *upstream) isLive(now time.Time) bool { return u.isUp(now) && u.advice.Accepts(now) }
+
+// live returns the number of live upstreams.
+func (s *serviceUpstreams) live(now time.Time) int { return s.count(now, (*upstream).isLive) }
+
+func (s *serviceUpstreams) count(now time.Time, counts func(*upstream, time.Time) bool) int {
 	n := 0
 	for _, u := range s.upstreams {
-		if !u.down.isSet(now) && !u.stats.Excluded(now) {
+		if counts(u, now) {
 			n++
 		}
 	}
 	return n
 }
 
-// live returns the number of upstreams of a service that are not known to be down.
+// live returns the number of live upstreams of a service.
 func (d *directory) live(service string, now time.Time) int {
 	s, ok := d.byService[service]
 	if !ok {
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -25,6 +25,7 @@
 	"geraniumstep.org/geraniumstep/internal/memory"
 	"geraniumstep.org/geraniumstep/internal/proto"
 	"geraniumstep.org/geraniumstep/internal/tasks"
+	"geraniumstep.org/geraniumstep/pkg/advice"
 	"geraniumstep.org/geraniumstep/pkg/canary"
 	"geraniumstep.org/geraniumstep/pkg/crash"
 	"geraniumstep.org/geraniumstep/pkg/fleet"
@@ -68,6 +69,8 @@
 	// sends them what an upstream has stated.
 	quotaNodes atomic.Pointer[quota.Nodes]
 	shareLimit func(quota.News)
+	// shareLeaving tells the other nodes that an upstream leaves.
+	shareLeaving func(advice.News)
 	// reachable reports whether anything but upstreams has been heard of since a time.
 	reachable func(since time.Time) bool
 	// links is what is known of this node's links to the upstreams.
@@ -173,7 +176,7 @@
 		dialect: d, log: logrus.NewEntry(logrus.StandardLogger()), dial: link.Dial,
 		budget: retry.New(), shardBudget: retry.New(), splitter: split.New(), metrics: newMetrics(),
 		lead: defaultLead, canaryMode: canary.OnAlert, memory: memory.New(defaultMemoryBytes), tracker: poison.New(), share: func([]poison.Report) {}, quarantined: func(poison.Fingerprint) {},
-		reachable: func(time.Time) bool { return false }, shareLimit: func(quota.News) {},
+		reachable: func(time.Time) bool { return false }, shareLimit: func(quota.News) {}, shareLeaving: func(advice.News) {},
 	}
 	e.nodes.Store(1)
 	e.restart.Store(int64(initialRestart))
@@ -328,8 +331,11 @@
 	return place.OtherRegion
 }
 
-// isLocal reports whether the service has an upstream in the local failure domain.
+// isLocal reports whether the service has an upstream in the local failure domain that does
+// not leave.
 func (d *directory) isLocal(service string) bool {
 	s, ok := d.byService[service]
-	return ok && slices.ContainsFunc(s.stats, func(s *place.Stats) bool { return s.Distance() == place.SameDomain })
+	return ok && slices.ContainsFunc(s.upstreams, func(u *upstream) bool {
+		return u.stats.Distance() == place.SameDomain && !u.advice.Leaving()
+	})
 }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -22,6 +22,8 @@
 	cut     prometheus.Gauge
 	detours *prometheus.CounterVec
 	denied  prometheus.Counter
+	// rests counts the answers in which upstreams asked for no requests for some time.
+	rests prometheus.Counter
 	// limited counts attempts that the limits of upstreams did not allow in time.
 	limited  prometheus.Counter
 	latency  *prometheus.HistogramVec
@@ -57,6 +59,8 @@
 			Name: "geraniumstep_relay_detours_total", Help: "Calls by way of other nodes while no upstream can be reached, by outcome."}, []string{"outcome"}),
 		denied: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "geraniumstep_relay_extra_denied_total", Help: "Hedges and retries that the budget did not allow."}),
+		rests: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "geraniumstep_relay_rests_total", Help: "Answers in which an upstream asks for no requests for some time."}),
 		limited: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "geraniumstep_relay_limited_total", Help: "Attempts that the limit of an upstream did not allow in time."}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -69,5 +73,5 @@
 }
 
 func (m *metrics) all() []prometheus.Collector {
-	return []prometheus.Collector{m.requests, m.sends, m.failures, m.broken, m.exhausted, m.quarantined, m.canaries, m.alerted, m.cut, m.detours, m.denied, m.limited, m.latency, m.upstream, m.version}
+	return []prometheus.Collector{m.requests, m.sends, m.failures, m.broken, m.exhausted, m.quarantined, m.canaries, m.alerted, m.cut, m.detours, m.denied, m.rests, m.limited, m.latency, m.upstream, m.version}
 }
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -19,7 +19,7 @@
 	penalty := place.RemotePenaltyWithin(time.Until(r.plan.SoftDeadline))
 	i := place.PickDelayed(p.stats, now, penalty, rand.IntN(len(p.stats)), func(i int) (time.Duration, bool) {
 		u := p.upstreams[i]
-		if excluded(u) || u.down.isSet(now) {
+		if excluded(u) || u.down.isSet(now) || !u.advice.Accepts(now) {
 			return 0, false
 		}
 		return u.quota.Wait(nodes, r.route.Priority(), left)
@@ -72,9 +72,14 @@
 // shortestWait returns the shortest time until one of the upstreams may be sent the request.
 // It returns false if none may be before it is too late.
 func (r *run) shortestWait(p *serviceUpstreams) (shortest time.Duration, ok bool) {
-	nodes, left := r.engine.quotaNodes.Load(), r.timeLeft()
+	nodes, left, now := r.engine.quotaNodes.Load(), r.timeLeft(), time.Now()
 	for _, u := range p.upstreams {
-		if wait, open := u.quota.Wait(nodes, r.route.Priority(), left); open && (!ok || wait < shortest) {
+		rest, accepts := u.advice.Wait(now, left)
+		if !accepts {
+			continue
+		}
+		wait, open := u.quota.Wait(nodes, r.route.Priority(), left)
+		if wait = max(wait, rest); open && (!ok || wait < shortest) {
 			shortest, ok = wait, true
 		}
 	}
@@ -82,10 +87,10 @@
 }
 
 // nextTurn returns the time after which the request would find a turn in time at an upstream
-// of one of its services that all limit their requests, or 0 if there is none. A node that
+// of one of its services that all limit their requests, rest or leave, or 0 if there is none. A node that
 // has no part of the limits does not know, and returns defaultRetryAfter.
 func (r *run) nextTurn() time.Duration {
-	nodes, left := r.engine.quotaNodes.Load(), r.timeLeft()
+	nodes, left, now := r.engine.quotaNodes.Load(), r.timeLeft(), time.Now()
 	next := time.Duration(0)
 	for _, service := range r.plan.Services {
 		p, ok := r.directory.byService[service]
@@ -95,12 +100,19 @@
 		if _, open := r.shortestWait(p); open {
 			continue
 		}
-		earliest := defaultRetryAfter
-		for i, u := range p.upstreams {
-			if late := u.quota.Late(nodes, r.route.Priority(), left); late > 0 && (i == 0 || late < earliest) {
+		earliest := time.Duration(0)
+		for _, u := range p.upstreams {
+			if u.advice.Leaving() {
+				continue
+			}
+			late := max(u.quota.Late(nodes, r.route.Priority(), left), u.advice.RestLeft(now))
+			if late > 0 && (earliest == 0 || late < earliest) {
 				earliest = late
 			}
 		}
+		if earliest == 0 {
+			earliest = defaultRetryAfter
+		}
 		if next == 0 || earliest < next {
 			next = earliest
 		}
@@ -118,12 +130,33 @@
 	if r.engine.links.IsCut() && !r.engine.links.HasLive() {
 		return 0, r.canDetour() // a peer decides by its own view of the queues
 	}
-	if r.gather && p.live(now) == 0 {
+	if r.gather && p.count(now, (*upstream).isUp) == 0 {
 		return 0, false
 	}
 	wait, ok := r.shortestWait(p)
 	if !ok {
 		return 0, false
 	}
-	return wait + place.ExpectedLatency(p.stats, now), true
+	return wait + place.ExpectedLatency(p.accepting(now), now), true
 }
+
+// accepting returns the statistics of the upstreams that accept requests, or of all if none
+// does.
+func (s *serviceUpstreams) accepting(now time.Time) []*place.Stats {
+	if s.count(now, (*upstream).accepts) == len(s.upstreams) {
+		return s.stats
+	}
+	var list []*place.Stats
+	for i, u := range s.upstreams {
+		if u.accepts(now) {
+			list = append(list, s.stats[i])
+		}
+	}
+	if len(list) == 0 {
+		return s.stats
+	}
+	return list
+}
+
+// accepts reports whether the upstream neither leaves nor rests.
+func (u *upstream) accepts(now time.Time) bool { return u.advice.Accepts(now) }
--- a/internal/relay/remote.go
+++ b/internal/relay/remote.go
@@ -65,12 +65,14 @@
 	}
 	nearest := place.OtherRegion
 	for _, u := range p.upstreams {
-		nearest = min(nearest, u.stats.Distance())
+		if !u.advice.Leaving() {
+			nearest = min(nearest, u.stats.Distance())
+		}
 	}
 	var list []remote
 	for _, u := range p.upstreams {
 		domain := u.entry.Domain()
-		if u.stats.Distance() != nearest || nearest == place.SameDomain {
+		if u.stats.Distance() != nearest || nearest == place.SameDomain || u.advice.Leaving() {
 			continue
 		}
 		site := remote{region: e.regions[domain]}
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"geraniumstep.org/geraniumstep/internal/link"
+	"geraniumstep.org/geraniumstep/pkg/advice"
 	"geraniumstep.org/geraniumstep/pkg/fleet"
 	"geraniumstep.org/geraniumstep/pkg/gate"
 	"geraniumstep.org/geraniumstep/pkg/place"
@@ -22,6 +23,8 @@
 	crash *crashCheck
 	down  downState
 	quota *quota.Upstream
+	// advice is what the upstream says of itself.
+	advice advice.State
 }
 
 // incarnation identifies the upstream's process.
