front: shard requests respect the rest that an upstream asks for

The front told its callers of the delay and did not keep to it. Leaving was respected (the refusal of a draining upstream, its health, the list of VMs). Change: the front rejects shard requests for as long as the upstream asked, and callers place it behind other replicas meanwhile.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -7,13 +7,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptrace"
-	"strconv"
 	"time"
 
 	"geraniumstep.org/geraniumstep/internal/peer"
+	"geraniumstep.org/geraniumstep/internal/proto"
 	"geraniumstep.org/geraniumstep/internal/wire"
+	"geraniumstep.org/geraniumstep/pkg/advice"
 	"geraniumstep.org/geraniumstep/pkg/gate"
 	"geraniumstep.org/geraniumstep/pkg/search"
 )
@@ -113,15 +115,15 @@
 // rejected converts a response with a status other than 200 to a reply. Only a known
 // HeaderRefusal proves that the upstream did not run the request.
 func (d *dispatcher) rejected(res *http.Response, shardReq *peer.ShardRequest) (peer.ShardReply, gate.Outcome) {
-	seconds, _ := strconv.Atoi(res.Header.Get("Retry-After"))
-	retry := time.Duration(seconds) * time.Second
+	rest := proto.ReadRest(res.Header)
 	switch res.Header.Get(wire.HeaderRefusal) {
 	case wire.RefusalDraining:
 		d.drainFromHealth.Store(false)
 		d.markDraining()
 		return peer.ShardReply{Cause: search.CauseDraining, Unsent: true}, gate.OutcomeCanceled
 	case wire.RefusalShed:
-		return peer.ShardReply{Cause: search.CauseShed, Unsent: true, RetryAfter: retry}, gate.OutcomeShed
+		d.advice.Hear(advice.Advice{Rest: rest}, time.Now(), rand.Float64())
+		return peer.ShardReply{Cause: search.CauseShed, Unsent: true, RetryAfter: min(rest, advice.MaxRest)}, gate.OutcomeShed
 	case wire.RefusalVersion:
 		return peer.ShardReply{Cause: search.CauseVersionGone, Unsent: true}, gate.OutcomeCanceled
 	case wire.RefusalDeadline:
--- a/internal/front/dispatcher.go
+++ b/internal/front/dispatcher.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"geraniumstep.org/geraniumstep/internal/peer"
+	"geraniumstep.org/geraniumstep/pkg/advice"
 	"geraniumstep.org/geraniumstep/pkg/gate"
 	"geraniumstep.org/geraniumstep/pkg/layout"
 	"geraniumstep.org/geraniumstep/pkg/life"
@@ -35,6 +36,8 @@
 	// last responded, in nanoseconds since 1970.
 	stats   *place.Stats
 	heardAt atomic.Int64
+	// advice is what the upstream has said of itself.
+	advice advice.State
 	// calls holds the calls in progress (*outgoing).
 	calls sync.Map
 	// reportsDrain is set while the health endpoint reports a drain, and
@@ -97,10 +100,17 @@
 func (d *dispatcher) do(ctx context.Context, shardReq *peer.ShardRequest) peer.ShardReply {
 	enqueued := time.Now()
 	d.lastUsed.Store(enqueued.UnixNano())
+	if left := d.advice.RestLeft(enqueued); left > 0 {
+		return peer.ShardReply{Cause: search.CauseResting, Unsent: true, RetryAfter: left}
+	}
 	ticket, rejected := d.acquire(ctx, shardReq)
 	if rejected != nil {
 		return *rejected
 	}
+	if left := d.advice.RestLeft(time.Now()); left > 0 {
+		d.gate.Release(ticket, 0, gate.OutcomeCanceled)
+		return peer.ShardReply{Cause: search.CauseResting, Unsent: true, RetryAfter: left}
+	}
 	sent := time.Now()
 	d.front.counter.sent.Add(1)
 	d.begin(ticket.ID(), shardReq.Fingerprint)
--- a/internal/node/search.go
+++ b/internal/node/search.go
@@ -242,7 +242,7 @@
 		return search.Replied{Attempt: shardReq.Attempt, Reply: reply.Reply, Wait: reply.Wait}
 	}
 	if stats != nil {
-		run.recordFailure(ctx, reply.Cause, stats, took)
+		run.recordFailure(ctx, reply, stats, took)
 	}
 	if reply.Unsent && reply.Cause == search.CauseBroken {
 		reply.Cause = search.CauseUnreachable
@@ -251,12 +251,15 @@
 }
 
 // recordFailure updates the statistics of the upstream after a failed attempt.
-func (run *searchRun) recordFailure(ctx context.Context, cause search.Cause, stats *route.Stats, took time.Duration) {
+func (run *searchRun) recordFailure(ctx context.Context, reply peer.ShardReply, stats *route.Stats, took time.Duration) {
+	cause := reply.Cause
 	switch {
 	case ctx.Err() != nil:
 		stats.Abandoned(took)
 	case cause == search.CauseDraining:
 		stats.MarkDraining()
+	case cause == search.CauseResting, cause == search.CauseShed && reply.RetryAfter > 0:
+		stats.Rest(reply.RetryAfter)
 	case cause == search.CauseBroken, cause == search.CauseCrashed, cause == search.CauseTimeout:
 		stats.Failed()
 	}
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -253,6 +253,10 @@
 // failureTTL.
 func (s *Stats) Failed() { s.avoidUntil.Store(time.Now().Add(failureTTL).UnixNano()) }
 
+// Rest records that the upstream wants no requests for some time. It ranks behind all
+// healthy ones for as long.
+func (s *Stats) Rest(d time.Duration) { s.avoidUntil.Store(time.Now().Add(d).UnixNano()) }
+
 // MarkDraining records that the upstream is draining. It ranks behind all others,
 // including failed ones, for drainTTL.
 func (s *Stats) MarkDraining() { s.drainingUntil.Store(time.Now().Add(drainTTL).UnixNano()) }
--- a/pkg/search/enums_string.go
+++ b/pkg/search/enums_string.go
@@ -19,11 +19,12 @@
 	_ = x[CauseInvalid-8]
 	_ = x[CauseUnreachable-9]
 	_ = x[CauseCut-10]
+	_ = x[CauseResting-11]
 }
 
-const _Cause_name = "refused by the gateupstream drainingshed by the upstreamversion no longer servedconnection brokenupstream crashedtimed outrequest quarantinedreply invalidupstream unreachablefront cut off from the upstreams"
+const _Cause_name = "refused by the gateupstream drainingshed by the upstreamversion no longer servedconnection brokenupstream crashedtimed outrequest quarantinedreply invalidupstream unreachablefront cut off from the upstreamsupstream wants no requests for some time"
 
-var _Cause_index = [...]uint8{0, 19, 36, 56, 80, 97, 113, 122, 141, 154, 174, 206}
+var _Cause_index = [...]uint8{0, 19, 36, 56, 80, 97, 113, 122, 141, 154, 174, 206, 246}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/pkg/search/faults.go
+++ b/pkg/search/faults.go
@@ -101,7 +101,7 @@
 // retry budget.
 func (s *Search) mayRetryNow(cause Cause) bool {
 	switch cause {
-	case CauseDraining, CauseVersionGone, CauseUnreachable, CauseCut:
+	case CauseDraining, CauseVersionGone, CauseUnreachable, CauseCut, CauseResting:
 		return true
 	}
 	return s.deps.TakeRetry()
--- a/pkg/search/types.go
+++ b/pkg/search/types.go
@@ -94,12 +94,13 @@
 	CauseInvalid                  // reply invalid
 	CauseUnreachable              // upstream unreachable
 	CauseCut                      // front cut off from the upstreams
+	CauseResting                  // upstream wants no requests for some time
 )
 
 // notRun reports whether the cause proves that no upstream ran the attempt.
 func (c Cause) notRun() bool {
 	switch c {
-	case CauseRefused, CauseDraining, CauseShed, CauseVersionGone, CauseQuarantined, CauseUnreachable, CauseCut:
+	case CauseRefused, CauseDraining, CauseShed, CauseVersionGone, CauseQuarantined, CauseUnreachable, CauseCut, CauseResting:
 		return true
 	}
 	return false
