links: responses, not connections, show that upstreams can be reached

Callers would see: a node cut off in a way in which connections are still established, to something on the way, held requests to their deadline as before. Cause: an established connection counted as the end of a doubt. Change: a response on a connection opened since does; probes are exchanges; a connection closed before its first response counts as a failed one; a closed probe shows a crash only if others respond. Resting upstreams are not probed.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -59,7 +59,7 @@
 	ctx, o, end := d.track(ctx, shardReq)
 	defer end()
 	sent := time.Now()
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { o.connected.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: o.gotConn}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, d.url(wire.PathRun), bytes.NewReader(body))
 	if err != nil {
 		return peer.ShardReply{Cause: search.CauseInvalid, Unsent: true}, gate.OutcomeCanceled
@@ -68,7 +68,7 @@
 	if err != nil {
 		return d.connectionError(ctx, err, !o.connected.Load(), sent), gate.OutcomeCanceled
 	}
-	d.heard()
+	d.heard(time.Unix(0, o.openedAt.Load()))
 	d.stats.Answered(time.Since(sent))
 	return d.read(ctx, res, shardReq, sent)
 }
--- a/internal/front/health.go
+++ b/internal/front/health.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"net/http/httptrace"
 	"syscall"
 	"time"
 
@@ -61,17 +62,23 @@
 func (d *dispatcher) fetchHealth(ctx context.Context) (wire.Health, error) {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
+	return d.getHealth(ctx, d.client)
+}
+
+func (d *dispatcher) getHealth(ctx context.Context, client *http.Client) (wire.Health, error) {
 	var h wire.Health
+	var o outgoing
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: o.gotConn})
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.url(wire.PathHealth), nil)
 	if err != nil {
 		return h, err
 	}
-	res, err := d.client.Do(req)
+	res, err := client.Do(req)
 	if err != nil {
 		return h, err
 	}
 	defer res.Body.Close()
-	d.heard()
+	d.heard(time.Unix(0, o.openedAt.Load()))
 	data, err := readAll(res.Body)
 	if err != nil {
 		return h, err
--- a/internal/front/links.go
+++ b/internal/front/links.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
+	"net/http/httptrace"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -73,24 +75,23 @@
 // HeardAt implements links.Upstream.
 func (d probed) HeardAt() time.Time { return time.Unix(0, d.heardAt.Load()) }
 
-// Open implements links.Upstream.
-func (d probed) Open(ctx context.Context) error {
-	conn, err := d.dial(ctx, "tcp", d.upstream.Addr())
-	if err != nil {
-		return err
-	}
-	return conn.Close()
+// Probe implements links.Upstream.
+func (d probed) Probe(ctx context.Context) error {
+	t := d.transport.Clone()
+	defer t.CloseIdleConnections()
+	t.DisableKeepAlives = true
+	_, err := d.getHealth(ctx, &http.Client{Transport: t})
+	return err
 }
 
 func (d *dispatcher) dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	return d.front.links.Dial(ctx, d.upstream.ID(), func(ctx context.Context) (net.Conn, error) { return d.front.dial(ctx, network, addr) })
 }
 
-// heard records a response of the upstream.
-func (d *dispatcher) heard() {
-	now := time.Now()
-	d.heardAt.Store(now.UnixNano())
-	d.front.links.Answered(now)
+// heard records a response of the upstream on a connection that was established at the time.
+func (d *dispatcher) heard(openedAt time.Time) {
+	d.heardAt.Store(time.Now().UnixNano())
+	d.front.links.Answered(openedAt)
 }
 
 // outgoing is a call to an upstream in progress.
@@ -100,6 +101,17 @@
 	// run again.
 	connected  atomic.Bool
 	repeatable bool
+	// openedAt is when its connection was established, if that was for this call, in
+	// nanoseconds since 1970.
+	openedAt atomic.Int64
+}
+
+// gotConn records the connection of the call.
+func (o *outgoing) gotConn(info httptrace.GotConnInfo) {
+	if !info.Reused {
+		o.openedAt.Store(time.Now().UnixNano())
+	}
+	o.connected.Store(true)
 }
 
 // track records a call in progress, which ends if this node is found cut off. The returned
@@ -158,5 +170,5 @@
 		return false
 	}
 	// The refusal counts only if it outlasts what the others have shown.
-	return errors.Is(probed{d}.Open(ctx), syscall.ECONNREFUSED)
+	return errors.Is(probed{d}.Probe(ctx), syscall.ECONNREFUSED)
 }
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -73,13 +73,22 @@
 	// reusable reports whether the last exchange allows that.
 	reusableUntil time.Time
 	reusable      bool
+	openedAt      time.Time
+	// proven is whether a response has been read.
+	proven bool
 }
 
+// OpenedAt returns when the connection was established.
+func (c *Conn) OpenedAt() time.Time { return c.openedAt }
+
+// Proven reports whether a response has been read on the connection.
+func (c *Conn) Proven() bool { return c.proven }
+
 func newConn(raw net.Conn) *Conn {
 	l := memory.NewLimiter(raw)
 	return &Conn{
 		Conn: raw, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes),
-		reusable: true, reusableUntil: time.Now().Add(defaultIdleTime),
+		reusable: true, reusableUntil: time.Now().Add(defaultIdleTime), openedAt: time.Now(),
 	}
 }
 
@@ -158,6 +167,7 @@
 	if err != nil {
 		return nil, sent > 0, err
 	}
+	c.proven = true
 	reply := d.ReadReply(r.StatusCode, r.Header)
 	if reply.RequestID != "" && reply.RequestID != req.ID {
 		return nil, true, errWrongRequest
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -5,7 +5,7 @@
 //	l := links.New(upstreams)
 //	conn, err := l.Dial(ctx, id, open) // each connection to an upstream
 //	l.Watch()                          // with each send
-//	l.Answered(time.Now())             // with each response
+//	l.Answered(openedAt)               // with each response
 //	if l.IsCut() { … }
 package links
 
@@ -48,8 +48,8 @@
 	Service() string
 	// HeardAt returns when the upstream last responded.
 	HeardAt() time.Time
-	// Open opens a connection through Dial, for a later request if possible.
-	Open(ctx context.Context) error
+	// Probe gets a response of the upstream on a new connection, opened through Dial.
+	Probe(ctx context.Context) error
 }
 
 // Upstreams are those that the node sends requests to.
@@ -59,7 +59,7 @@
 	// Silent returns how many have had requests for at least the time without an answer,
 	// and the longest of these times.
 	Silent(atLeast time.Duration) (n int, longest time.Duration)
-	// Sample returns up to n of them, in random order.
+	// Sample returns up to n of those that may be probed, in random order.
 	Sample(n int) []Upstream
 	// Forget drops what was observed of them during a cut.
 	Forget()
@@ -81,10 +81,10 @@
 	// state is the monitor's, and unsettled whether a new connection changes it.
 	state     atomic.Int32
 	unsettled atomic.Bool
-	// cutAt is when the last cut began and endedAt when it ended, answeredAt when an
-	// upstream last answered, and openedAt when a connection was last established, in
-	// nanoseconds since 1970.
-	cutAt, endedAt, answeredAt, openedAt atomic.Int64
+	// doubtedAt is when the links last came into doubt, cutAt when the last cut began and
+	// endedAt when it ended, answeredAt when an upstream last answered, and reachedAt when
+	// one last did on a new connection, in nanoseconds since 1970.
+	doubtedAt, cutAt, endedAt, answeredAt, reachedAt atomic.Int64
 	// confirming makes refusals at the same time share the connections that confirm them.
 	confirming sync.Mutex
 	// watching is whether a check for silence is due.
@@ -144,19 +144,23 @@
 // CutSignal returns a channel that is closed when the next cut begins.
 func (l *Links) CutSignal() <-chan struct{} { return *l.began.Load() }
 
-// Answered records an answer of an upstream.
-func (l *Links) Answered(now time.Time) { l.answeredAt.Store(now.UnixNano()) }
+// Answered records an answer of an upstream on a connection that was established at the time.
+func (l *Links) Answered(openedAt time.Time) {
+	now := time.Now().UnixNano()
+	l.answeredAt.Store(now)
+	if l.unsettled.Load() && openedAt.UnixNano() > l.doubtedAt.Load() {
+		l.reachedAt.Store(now)
+		l.step(reach.Reached{})
+	}
+}
 
-// Dial opens a connection to an upstream and records the outcome.
+// Failed records that a connection to an upstream was closed before the first response.
+func (l *Links) Failed(upstream string) { l.step(reach.DialFailed{Upstream: upstream}) }
+
+// Dial opens a connection to an upstream and records a failure.
 func (l *Links) Dial(ctx context.Context, upstream string, open func(ctx context.Context) (net.Conn, error)) (net.Conn, error) {
 	conn, err := open(ctx)
-	switch {
-	case err == nil:
-		l.openedAt.Store(time.Now().UnixNano())
-		if l.unsettled.Load() {
-			l.step(reach.Opened{})
-		}
-	case ctx.Err() == nil:
+	if err != nil && ctx.Err() == nil {
 		l.step(reach.DialFailed{Upstream: upstream})
 	}
 	return conn, err
@@ -193,7 +197,10 @@
 	actions := l.monitor.Step(ev)
 	after := l.monitor.State()
 	l.state.Store(int32(after))
-	l.unsettled.Store(after != reach.Connected || l.monitor.Failing())
+	doubt := after != reach.Connected || l.monitor.Failing()
+	if began := !l.unsettled.Swap(doubt); doubt && (began || before == reach.Connected && after != before) {
+		l.doubtedAt.Store(time.Now().UnixNano())
+	}
 	l.setTimer()
 	for _, a := range actions {
 		l.apply(a)
@@ -212,8 +219,8 @@
 		return "connections failed"
 	case reach.Silent:
 		return "no answers"
-	case reach.Opened:
-		return "connection opened"
+	case reach.Reached:
+		return "upstream responded"
 	case reach.Needed:
 		return "request waits"
 	case reach.ProbeFailed:
@@ -251,13 +258,15 @@
 	}
 }
 
-// Confirm reports whether new connections to other upstreams are established, so that a
-// refusal is that of the upstream. With too few others nothing contradicts it.
+// Confirm reports whether other upstreams respond on new connections, so that a refusal is
+// that of the upstream. With too few others nothing contradicts it.
 func (l *Links) Confirm(ctx context.Context, refused string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
 	since := time.Now().UnixNano()
 	l.confirming.Lock()
 	defer l.confirming.Unlock()
-	if l.openedAt.Load() > since {
+	if l.reachedAt.Load() > since {
 		return true
 	}
 	l.mu.Lock()
@@ -267,14 +276,14 @@
 	if len(others) < confirmCount {
 		return true
 	}
-	opened := make(chan bool, len(others))
+	responded := make(chan bool, len(others))
 	for _, u := range others {
-		if !l.tasks.Go(func() { opened <- u.Open(ctx) == nil }) {
+		if !l.tasks.Go(func() { responded <- l.get(ctx, u) == nil }) {
 			return false
 		}
 	}
 	for range others {
-		if <-opened {
+		if <-responded {
 			return true
 		}
 	}
@@ -334,14 +343,24 @@
 	return chosen
 }
 
-// probe opens connections to the upstreams.
+// get probes one upstream.
+func (l *Links) get(ctx context.Context, u Upstream) error {
+	err := u.Probe(ctx)
+	if err == nil {
+		l.reachedAt.Store(time.Now().UnixNano())
+		l.step(reach.Reached{})
+	}
+	return err
+}
+
+// probe probes the upstreams.
 func (l *Links) probe(upstreams []Upstream) {
 	failed := new(atomic.Int64)
 	for _, u := range upstreams {
 		l.tasks.Go(func() {
 			ctx, cancel := context.WithTimeout(l.work, probeTimeout)
 			defer cancel()
-			if u.Open(ctx) != nil && failed.Add(1) == int64(len(upstreams)) {
+			if l.get(ctx, u) != nil && failed.Add(1) == int64(len(upstreams)) {
 				l.step(reach.ProbeFailed{})
 			}
 		})
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -162,6 +162,12 @@
 	if !wrote || err == nil || closedByUpstream(err) {
 		silence.end()
 	}
+	switch {
+	case err == nil:
+		r.engine.links.Answered(c.OpenedAt())
+	case !c.Proven() && closedByUpstream(err):
+		r.engine.links.Failed(u.entry.ID())
+	}
 	if a.setConn(nil) {
 		u.pool.Release(c)
 	} else {
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -74,7 +74,6 @@
 	now := time.Now()
 	u.crash.watch.Heard(now)
 	u.down.clear()
-	e.links.Answered(now)
 	e.lastHeard.Store(&heard{from: u, at: now})
 }
 
@@ -291,13 +290,16 @@
 func (e *Engine) probe(u *upstream) crash.Result {
 	start := time.Now()
 	result := e.tryProbe(u)
+	if result == crash.Closed && !e.links.Confirm(e.baseCtx, u.entry.ID()) {
+		return crash.Inconclusive
+	}
 	if result != crash.Responded && result != crash.Replaced && e.links.WasCutSince(start) {
 		return crash.Inconclusive
 	}
 	return result
 }
 
-// tryProbe probes the upstream. The connection is then available to requests.
+// tryProbe probes the upstream.
 func (e *Engine) tryProbe(u *upstream) crash.Result {
 	if u.advice.RestLeft(time.Now()) > 0 {
 		return crash.Inconclusive
@@ -320,6 +322,23 @@
 	case err != nil:
 		return crash.Silent
 	}
+	res, err := e.exchangeProbe(ctx, u, c)
+	switch {
+	case err != nil && closedByUpstream(err):
+		return crash.Closed
+	case err != nil:
+		return crash.Silent
+	}
+	if id := res.Reply().Upstream; id != "" && id != u.entry.ID() {
+		return crash.Replaced
+	}
+	e.heardAdvice(u, res.Reply().Advice)
+	return crash.Responded
+}
+
+// exchangeProbe gets the response to a probe on a new connection. The connection is then
+// available to requests.
+func (e *Engine) exchangeProbe(ctx context.Context, u *upstream, c *link.Conn) (*link.Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	u.quota.Charge()
@@ -329,17 +348,10 @@
 	res, _, err := c.Exchange(req, link.EncodeRequest(link.EncodeHead(req, nil), header, nil), e.dialect)
 	if err != nil {
 		_ = c.Close()
-		if closedByUpstream(err) {
-			return crash.Closed
-		}
-		return crash.Silent
+		return nil, err
 	}
 	u.pool.Release(c)
-	if id := res.Reply().Upstream; id != "" && id != u.entry.ID() {
-		return crash.Replaced
-	}
-	e.heardAdvice(u, res.Reply().Advice)
-	return crash.Responded
+	return res, nil
 }
 
 func formatFingerprint(f poison.Fingerprint) string { return fmt.Sprintf("%016x", uint64(f)) }
--- a/internal/relay/cut_test.go
+++ b/internal/relay/cut_test.go
@@ -29,6 +29,8 @@
 	cutHang           // nothing arrives, new connections are never established
 	cutReset          // connections are reset, new ones are never established
 	cutRefuse         // connections live on, new ones are refused
+	cutMute           // nothing arrives, new connections are established
+	cutClose          // connections are reset, new ones are established and reset
 )
 
 // cutLinks are the links of one node to the upstreams.
@@ -40,7 +42,7 @@
 
 func (l *cutLinks) set(m cutMode) {
 	l.mode.Store(int32(m))
-	if m != cutReset {
+	if m != cutReset && m != cutClose {
 		return
 	}
 	l.mu.Lock()
@@ -61,7 +63,7 @@
 		}
 	case cutRefuse:
 		return nil, syscall.ECONNREFUSED
-	case cutNone:
+	case cutNone, cutMute, cutClose:
 	}
 	raw, err := link.Dial(ctx, addr)
 	if err != nil {
@@ -80,12 +82,22 @@
 }
 
 func (c *cutConn) Write(b []byte) (int, error) {
-	if cutMode(c.links.mode.Load()) == cutHang {
+	switch cutMode(c.links.mode.Load()) {
+	case cutHang, cutMute:
 		return len(b), nil
+	case cutNone, cutReset, cutRefuse, cutClose:
 	}
 	return c.Conn.Write(b)
 }
 
+// Read implements net.Conn.
+func (c *cutConn) Read(b []byte) (int, error) {
+	if cutMode(c.links.mode.Load()) == cutClose {
+		return 0, syscall.ECONNRESET
+	}
+	return c.Conn.Read(b)
+}
+
 // cutTier is a tier of nodes in several failure domains, each with its own links.
 type cutTier struct {
 	nodes []*Engine
@@ -212,7 +224,7 @@
 		name string
 		cut  []int
 	}{{"one node", []int{0}}, {"most nodes", []int{0, 1, 2, 3}}, {"a failure domain", []int{0, 1}}}
-	for name, mode := range map[string]cutMode{"hanging": cutHang, "reset": cutReset, "refused": cutRefuse} {
+	for name, mode := range map[string]cutMode{"hanging": cutHang, "reset": cutReset, "refused": cutRefuse, "mute": cutMute, "closed": cutClose} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for _, c := range cuts {
--- a/internal/relay/links.go
+++ b/internal/relay/links.go
@@ -38,12 +38,15 @@
 
 // Sample implements links.Upstreams.
 func (e linked) Sample(n int) []links.Upstream {
+	now := time.Now()
 	var list []links.Upstream
 	for _, u := range e.upstreams.Load().byID { // in random order
 		if len(list) == n {
 			break
 		}
-		list = append(list, probed{u})
+		if u.advice.RestLeft(now) == 0 {
+			list = append(list, probed{u, e.Engine})
+		}
 	}
 	return list
 }
@@ -57,7 +60,10 @@
 }
 
 // probed implements links.Upstream.
-type probed struct{ *upstream }
+type probed struct {
+	*upstream
+	engine *Engine
+}
 
 // ID implements links.Upstream.
 func (u probed) ID() string { return u.entry.ID() }
@@ -68,12 +74,13 @@
 // HeardAt implements links.Upstream.
 func (u probed) HeardAt() time.Time { return u.crash.watch.SilentSince(time.Time{}) }
 
-// Open implements links.Upstream. Requests can use the connection.
-func (u probed) Open(ctx context.Context) error {
+// Probe implements links.Upstream. Requests can use the connection.
+func (u probed) Probe(ctx context.Context) error {
 	c, err := u.pool.Open(ctx)
-	if err == nil {
-		u.pool.Release(c)
+	if err != nil {
+		return err
 	}
+	_, err = u.engine.exchangeProbe(ctx, u.upstream, c)
 	return err
 }
 
--- a/pkg/reach/reach.go
+++ b/pkg/reach/reach.go
@@ -51,11 +51,11 @@
 	Cut // cut
 )
 
-// Event is an input of Step: DialFailed, Silent, Needed, Opened, ProbeFailed or Tick.
+// Event is an input of Step: DialFailed, Silent, Needed, Reached, ProbeFailed or Tick.
 type Event interface{ event() }
 
-// DialFailed reports that a connection to the upstream was refused or not established in
-// time.
+// DialFailed reports that a connection to the upstream was refused, not established in time,
+// or closed before the first response.
 type DialFailed struct{ Upstream string }
 
 // Silent reports that requests are in flight at a number of upstreams, and none of any
@@ -67,8 +67,10 @@
 	For       time.Duration
 }
 
-// Opened reports that a connection to an upstream was established.
-type Opened struct{}
+// Reached reports that an upstream has responded on a connection that was established since
+// the links came into doubt. That a connection is established shows less: something on the
+// way may accept it.
+type Reached struct{}
 
 // ProbeFailed reports that the last probes have all failed.
 type ProbeFailed struct{}
@@ -82,7 +84,7 @@
 
 func (DialFailed) event()  {}
 func (Silent) event()      {}
-func (Opened) event()      {}
+func (Reached) event()     {}
 func (Needed) event()      {}
 func (ProbeFailed) event() {}
 func (Tick) event()        {}
@@ -90,8 +92,8 @@
 // Action is an output of Step: Probe, Began or Ended.
 type Action interface{ action() }
 
-// Probe asks for connections to as many upstreams, of which others than those that failed
-// are preferred.
+// Probe asks for a response of as many upstreams on new connections. Others than those that
+// failed are preferred.
 type Probe struct{ Upstreams int }
 
 // Began reports that the node has been found cut off.
@@ -108,8 +110,8 @@
 // Monitor is the state of one node. It is not safe for concurrent use.
 type Monitor struct {
 	state State
-	// failed holds the upstreams that could not be connected to since the last
-	// connection was established.
+	// failed holds the upstreams that could not be connected to since one was last
+	// reached.
 	failed map[string]bool
 	// until is when the suspicion is confirmed unless a probe succeeds, quiet when
 	// another one may be raised, and nextProbe when the next probe of a cut is due.
@@ -123,11 +125,11 @@
 // State returns the state.
 func (m *Monitor) State() State { return m.state }
 
-// Failing returns whether connections have failed since the last one was established.
+// Failing reports whether connections have failed since an upstream was last reached.
 func (m *Monitor) Failing() bool { return len(m.failed) > 0 }
 
-// HasFailed reports whether a connection to the upstream has failed since the last one to
-// any upstream was established.
+// HasFailed reports whether a connection to the upstream has failed since any upstream was
+// last reached.
 func (m *Monitor) HasFailed(upstream string) bool { return m.failed[upstream] }
 
 // Step applies one event and returns the resulting actions.
@@ -143,7 +145,7 @@
 		if ev.Upstreams >= minUpstreams || ev.Upstreams > 0 && ev.Known >= minUpstreams && ev.For >= LongSilence {
 			return m.suspect(now)
 		}
-	case Opened:
+	case Reached:
 		return m.reached(now)
 	case ProbeFailed:
 		if m.state == Suspected {
--- a/pkg/reach/reach_test.go
+++ b/pkg/reach/reach_test.go
@@ -44,7 +44,7 @@
 func (s *linkSim) probe() {
 	if s.sound || time.Since(s.start) >= s.heal {
 		time.Sleep(s.takes)
-		s.step(Opened{})
+		s.step(Reached{})
 		return
 	}
 	time.Sleep(500 * time.Millisecond)
@@ -107,7 +107,7 @@
 		{"one upstream refuses", false, time.Hour,
 			map[time.Duration]Event{ms(10): DialFailed{"a"}, ms(11): DialFailed{"a"}, ms(12): DialFailed{"a"}, ms(500): DialFailed{"b"}}, nil},
 		{"some upstreams refuse, others are connected to", false, time.Hour,
-			map[time.Duration]Event{ms(10): DialFailed{"a"}, ms(11): DialFailed{"b"}, ms(12): Opened{}, ms(13): DialFailed{"c"}}, nil},
+			map[time.Duration]Event{ms(10): DialFailed{"a"}, ms(11): DialFailed{"b"}, ms(12): Reached{}, ms(13): DialFailed{"c"}}, nil},
 		{"one slow request", true, 0, map[time.Duration]Event{ms(150): Silent{Upstreams: 1, Known: 55, For: ms(150)}, ms(300): Silent{Upstreams: 1, Known: 55, For: ms(300)}}, nil},
 		{"one request without an answer, and no other", false, ms(1200), map[time.Duration]Event{ms(600): Silent{Upstreams: 1, Known: 55, For: ms(600)}},
 			[]string{"600ms suspected", "850ms cut", "1.37s connected"}},
