soak: nodes lose their servers, servers say that they leave or ask for rest

Three fault kinds with promises and checkers: a cut of one node from all servers, by the sockets of its process (silent, one way, reset); the word of leaving without the registry; rejections with Retry-After. The unit tests plant each violation.

--- a/soak/check.go
+++ b/soak/check.go
@@ -58,8 +58,15 @@
 	violations []string
 	// cuts holds the attempts that failed without a response. They are checked at
 	// the end, because a fault is recorded only after it has begun.
-	cuts      []attempt
-	limits    []statedLimit
+	cuts   []attempt
+	limits []statedLimit
+	// serverCuts, leavings and rests are evaluated at the end, and tries for them.
+	serverCuts []serverCut
+	leavings   []wordOfLeaving
+	rests      []askedRest
+	tries      []try
+	// nodes is the number of nodes.
+	nodes     int
 	attempts  int
 	successes int
 }
@@ -121,6 +128,7 @@
 	defer c.mu.Unlock()
 	c.attempts++
 	r := a.reply
+	c.tries = append(c.tries, try{node: a.node, at: a.sentAt, served: r.Err == nil && r.Status == 200})
 	switch {
 	case r.Err != nil:
 		c.cuts = append(c.cuts, a)
@@ -232,6 +240,9 @@
 	defer c.mu.Unlock()
 	c.checkCrashing(receivers)
 	c.checkLimits(receivers)
+	c.checkCuts()
+	c.checkLeavings(receivers)
+	c.checkRests()
 	for _, a := range c.cuts {
 		c.checkCut(a)
 	}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -106,6 +108,31 @@
 			run(checker, fmt.Sprintf("soak-%d", 10+i), "d", 1)
 		}
 	}
+	// cut plants a node that reached no server, and served some of its attempts.
+	cut := func(checker *checker, served, sent int) {
+		checker.serverCuts = []serverCut{{node: "n", from: now.Add(-cutNoticeBound - time.Second), to: now.Add(time.Second)}}
+		for i := range sent {
+			checker.tries = append(checker.tries, try{"n", now, i < served}, try{"m", now, true})
+		}
+	}
+	// leave plants a server that says that it leaves, and runs of it some time later.
+	leave := func(checker *checker, later time.Duration) {
+		checker.leavings = []wordOfLeaving{{server: "d", from: now.Add(-time.Second), to: now.Add(time.Minute)}}
+		for i, at := range []time.Duration{0, later} {
+			checker.runLog.Add(fakes.Run{Request: fmt.Sprintf("soak-%d", 10+i), Server: "d", Service: "new", At: now.Add(at)})
+		}
+	}
+	// rest plants a server that asks for a minute of rest, and gets requests.
+	rest := func(checker *checker, n int) {
+		checker.nodes = 2
+		checker.rests = []askedRest{{server: checker.servers["d"], rest: time.Minute, from: now.Add(-time.Minute), to: now.Add(time.Hour)}}
+		for range n {
+			r := httptest.NewRequest(http.MethodGet, "/p/x", nil)
+			r.Header.Set("X-Expect-Instance", "d")
+			checker.servers["d"].ServeHTTP(httptest.NewRecorder(), r)
+		}
+	}
+	receivers := map[string]string{"soak-10": "n", "soak-11": "n"}
 	attempts := map[string]attempt{"soak-1": {reply: fakes.Reply{Status: 503}}}
 	tests := []struct {
 		name        string
@@ -126,12 +153,18 @@
 		{"crashing request sent as often as allowed", func(checker *checker) { crash(checker, learnBound+time.Second, maxLateSends) }, nil, nil, ""},
 		{"more requests than the limit", func(checker *checker) { limit(checker, 12) }, nil, nil, "limit"},
 		{"as many requests as the limit allows", func(checker *checker) { limit(checker, 11) }, nil, nil, ""},
+		{"cut node serves too few", func(checker *checker) { cut(checker, 20, 40) }, nil, nil, "recover"},
+		{"cut node serves most", func(checker *checker) { cut(checker, 28, 40) }, nil, nil, ""},
+		{"request after the word of leaving", func(checker *checker) { leave(checker, drainBound+time.Second) }, nil, nil, "drain"},
+		{"request soon after the word of leaving", func(checker *checker) { leave(checker, drainBound-time.Second) }, nil, nil, ""},
+		{"requests in a rest", func(checker *checker) { rest(checker, 7) }, nil, nil, "rest"},
+		{"as many requests in a rest as allowed", func(checker *checker) { rest(checker, 6) }, nil, nil, ""},
 		{"crashing request sent soon after", func(checker *checker) { crash(checker, learnBound-time.Second, 9) }, nil, nil, ""},
 	}
 	for _, tt := range tests {
 		checker := settledChecker(now)
 		tt.plant(checker)
-		checker.finish(tt.notRun, tt.submissions, nil)
+		checker.finish(tt.notRun, tt.submissions, receivers)
 		expectViolation(t, tt.name, checker, tt.want)
 	}
 }
--- a/soak/env.go
+++ b/soak/env.go
@@ -59,6 +59,9 @@
 	version     int
 	shardSet    int
 
+	// cutNode is the node that is cut off from the servers, or nil.
+	cutNode atomic.Pointer[nodeCut]
+
 	requests    atomic.Int64
 	notRun      map[string]attempt
 	submissions map[string]attempt
@@ -121,7 +124,7 @@
 	if err != nil {
 		return err
 	}
-	if s.proxy, err = newProxy(l.Addr().String()); err != nil {
+	if s.proxy, err = newProxy(l.Addr().String(), withCuts(e.cutStateOf)); err != nil {
 		return err
 	}
 	s.http = &http.Server{Handler: s.Server, ReadHeaderTimeout: time.Minute}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -38,7 +38,7 @@
 	{"link", impairLinks}, {"calls", impairCalls},
 	{"crash-request", sendCrashingRequest}, {"crash-herd", crashHerd},
 	{"ending-request", sendEndingRequest}, {"limit", limitServer},
-	{"restore", restoreStore},
+	{"restore", restoreStore}, {"servers-cut", cutServers}, {"leaving", sayLeaving}, {"rest", askRest},
 }
 
 func (e *testEnv) randomNode() *node { return e.nodes[e.random.IntN(len(e.nodes))] }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -39,14 +39,30 @@
 	// packetState is the impairment of datagrams.
 	packetState linkState
 	conns       map[net.Conn]bool
+	// cutStateOf returns the state of a new connection whose node is cut off, if it is. cut
+	// holds the state of such connections by their inbound side.
+	cutStateOf func(inbound net.Conn) (linkState, bool)
+	cut        map[net.Conn]linkState
 }
 
-func newProxy(target string) (*proxy, error) {
+// proxyOption configures a proxy at construction.
+type proxyOption func(*proxy)
+
+// withCuts sets the function that returns the state of a connection whose node is cut off.
+func withCuts(stateOf func(inbound net.Conn) (linkState, bool)) proxyOption {
+	return func(p *proxy) { p.cutStateOf = stateOf }
+}
+
+func newProxy(target string, opts ...proxyOption) (*proxy, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{target: target, listener: l, conns: make(map[net.Conn]bool)}
+	p := &proxy{target: target, listener: l, conns: make(map[net.Conn]bool), cut: make(map[net.Conn]linkState),
+		cutStateOf: func(net.Conn) (linkState, bool) { return linkOpen, false }}
+	for _, opt := range opts {
+		opt(p)
+	}
 	go p.accept()
 	return p, nil
 }
@@ -149,10 +165,17 @@
 		if err != nil {
 			return
 		}
-		if p.currentState() == linkReset {
+		cut, isCut := p.cutStateOf(inbound)
+		if p.currentState() == linkReset || cut == linkReset {
 			reset(inbound)
 			continue
 		}
+		if isCut {
+			p.setCut(inbound, cut)
+			if _, still := p.cutStateOf(inbound); !still {
+				p.endCuts()
+			}
+		}
 		go p.forward(inbound)
 	}
 }
@@ -165,8 +188,8 @@
 	}
 	p.track(inbound, outbound)
 	var both sync.WaitGroup
-	both.Go(func() { p.copy(outbound, inbound, true) })
-	both.Go(func() { p.copy(inbound, outbound, false) })
+	both.Go(func() { p.copy(outbound, inbound, inbound, true) })
+	both.Go(func() { p.copy(inbound, outbound, inbound, false) })
 	both.Wait()
 	p.closeAll(inbound, outbound)
 }
@@ -185,17 +208,56 @@
 	for _, c := range conns {
 		_ = c.Close()
 		delete(p.conns, c)
+		delete(p.cut, c)
+	}
+}
+
+func (p *proxy) setCut(inbound net.Conn, s linkState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut[inbound] = s
+}
+
+// applyCut sets the state of the open connections from the ports.
+func (p *proxy) applyCut(s linkState, ports map[int]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		switch {
+		case !ports[remotePort(c)]:
+		case s == linkReset:
+			reset(c)
+		default:
+			p.cut[c] = s
+		}
+	}
+}
+
+// endCuts lets all connections carry bytes again.
+func (p *proxy) endCuts() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.cut)
+}
+
+// stateOf returns the impairment of the connection.
+func (p *proxy) stateOf(inbound net.Conn) linkState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, ok := p.cut[inbound]; ok {
+		return s
 	}
+	return p.state
 }
 
 // copy forwards bytes in one direction. The end of the input closes that direction
 // only; an error resets both connections.
-func (p *proxy) copy(to, from net.Conn, toTarget bool) {
+func (p *proxy) copy(to, from, inbound net.Conn, toTarget bool) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			p.applyState(toTarget)
+			p.applyState(inbound, toTarget)
 			if _, werr := to.Write(buffer[:n]); werr != nil {
 				err = werr
 			}
@@ -216,9 +278,9 @@
 
 // applyState waits before bytes are forwarded in one direction, for linkDelay or
 // until the state allows it.
-func (p *proxy) applyState(toTarget bool) {
+func (p *proxy) applyState(inbound net.Conn, toTarget bool) {
 	for {
-		switch s := p.currentState(); {
+		switch s := p.stateOf(inbound); {
 		case s == linkDelayed:
 			time.Sleep(linkDelay)
 			return
