--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -33,7 +33,8 @@
 	dialTimeout = time.Second
 	// ackTimeout is how long sent bytes may stay unacknowledged. The
 	// keepAlive constants set the TCP keep-alive probes that detect a
-	// peer that stops responding on an idle connection.
+	// peer that stops responding on an idle connection. Since ackTimeout is set,
+	// it decides when the probes give up: at the second one, 4 s after the last byte.
 	ackTimeout        = 2 * time.Second
 	keepAliveIdle     = 3 * time.Second
 	keepAliveInterval = time.Second
