--- a/internal/relay/cut_test.go
+++ b/internal/relay/cut_test.go
@@ -319,7 +319,7 @@
 	tier.load(0, cutNoticeTime)
 	p := tier.nodes[0].peers.Load()
 	lost := *p
-	lost.call = func(ctx context.Context, addr, method string, args, reply any) error {
+	lost.call = func(ctx context.Context, addr, method string, args, _ any) error {
 		if err := p.call(ctx, addr, method, args, &GatherReply{}); err != nil {
 			return err
 		}
