relay: the reply to a call that has ended is not read

Callers could get an answer made of a reply that was still being decoded, when the deadline of a call to another node passed at that moment. Cause: the reply was copied also after an error, when net/rpc may still write it. Now only without.

--- a/internal/relay/peergroup.go
+++ b/internal/relay/peergroup.go
@@ -150,8 +150,11 @@
 			defer g.peer.stats.End()
 			ctx, cancel := context.WithDeadline(r.engine.baseCtx, r.plan.Deadline)
 			defer cancel()
-			d := groupDone{group: g}
-			d.err = g.call(ctx, g.peer.node.Addr, call.method(), call, &d.reply)
+			reply := new(GatherReply)
+			d := groupDone{group: g, err: g.call(ctx, g.peer.node.Addr, call.method(), call, reply)}
+			if d.err == nil {
+				d.reply = *reply // after an error it may still be written
+			}
 			r.post(d)
 		})
 	}
