--- a/internal/relay/cut_test.go
+++ b/internal/relay/cut_test.go
@@ -230,7 +230,6 @@
 	}{{"one node", []int{0}}, {"most nodes", []int{0, 1, 2, 3}}, {"a failure domain", []int{0, 1}}}
 	for name, mode := range map[string]cutMode{"hanging": cutHang, "reset": cutReset, "refused": cutRefuse, "mute": cutMute, "closed": cutClose} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			for _, c := range cuts {
 				t.Run(c.name, func(t *testing.T) { testCut(t, mode, c.cut) })
 			}
