review: case 1, a request that may run once runs twice

Cause: a response without a request ID is accepted as the answer to the request in flight, also one that belongs to the probe before it on the connection. Its 421 is taken as proof that nothing ran.

Change: a script with stand-ins that plays it, and its claim. Nothing is fixed.

--- /dev/null
+++ b/review/_standin/main.go
@@ -0,0 +1,71 @@
+// Command standin plays a case of the review: it starts the nodes under test as processes,
+// and stands in for the platform's store, its servers and its clients. It exits with 1 if
+// the case's rule was broken, 0 if it held, and 2 if the case could not run. With TROUBLE=0
+// in the environment it leaves the disruption out.
+//
+//	standin twice review/1
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+)
+
+// exit codes of a case.
+const (
+	held   = 0
+	broken = 1
+	failed = 2
+)
+
+// started is the deployment that runs, whose processes must not outlive this one.
+var started atomic.Pointer[deployment]
+
+// stopOnSignal ends all processes that were started when this one is asked to end.
+func stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		<-signals
+		if d := started.Load(); d != nil {
+			d.stop()
+		}
+		os.Exit(failed)
+	}()
+}
+
+func main() {
+	stopOnSignal()
+	if len(os.Args) != 3 {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
+		os.Exit(failed)
+	}
+	cases := map[string]func(r *record, trouble bool) (int, error){"twice": playTwice, "drain": playDrain, "restore": playRestore}
+	play, ok := cases[os.Args[1]]
+	if !ok {
+		fmt.Fprintf(os.Stderr, "standin: no case %q\n", os.Args[1])
+		os.Exit(failed)
+	}
+	r, err := newRecord(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(failed)
+	}
+	code, err := play(r, os.Getenv("TROUBLE") != "0")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		r.add("error %v", err)
+		code = failed
+	}
+	r.close()
+	os.Exit(code)
+}
+
+// say writes a line to the record and to standard output.
+func say(r *record, format string, args ...any) {
+	r.add("note "+format, args...)
+	fmt.Printf(format+"\n", args...)
+}
