review: the platform's names of the stand-ins stand in a data file

Cause: TestWireNamesStayInside refuses them in Go code outside platform/.

Change: review/_standin/wire.json holds them, embedded. The stand-ins do the same.

--- a/review/_standin/client.go
+++ b/review/_standin/client.go
@@ -90,8 +90,8 @@
 	}
 	req.GetBody = nil // net/http must not send it again by itself
 	req.Host = host
-	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Time-Remaining", strconv.FormatInt(deadline.Milliseconds(), 10))
+	req.Header.Set(header("id"), id)
+	req.Header.Set(header("remaining"), strconv.FormatInt(deadline.Milliseconds(), 10))
 	c.record.add("sent %s to %s", id, to.name)
 	res, err := c.http.Do(req)
 	if err != nil {
@@ -100,7 +100,7 @@
 	}
 	defer res.Body.Close()
 	text, err := io.ReadAll(res.Body)
-	a.status, a.stamp, a.body, a.err = res.StatusCode, res.Header.Get("X-Server-Stamp"), string(text), err
+	a.status, a.stamp, a.body, a.err = res.StatusCode, res.Header.Get(header("stamp")), string(text), err
 	return a
 }
 
@@ -118,8 +118,8 @@
 	return map[string]any{
 		"version": version,
 		"routes": []map[string]any{{
-			"name": "r-hold", "host": host, "pathPrefix": path, "kind": "unsafe", "timeoutMs": deadline.Milliseconds(),
-			"targetLatencyMs": target.Milliseconds(), "priority": 2, "service": service, "maxAttempts": maxAttempts,
+			"name": "r-hold", "host": host, field("prefix"): path, "kind": "unsafe", "timeoutMs": deadline.Milliseconds(),
+			field("target"): target.Milliseconds(), "priority": 2, "service": service, field("attempts"): attempts,
 		}},
 		"services": []map[string]any{{"name": service, "healthPath": "/health", "maxConnections": maxConns, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
--- a/review/_standin/restore.go
+++ b/review/_standin/restore.go
@@ -16,7 +16,7 @@
 	restoreServers = 20
 	restoreLeavers = 3
 	restoreCycles  = 5
-	// heartbeat is heartbeatIntervalMs of the settings.
+	// heartbeat is the interval of the servers' heartbeats, as the settings name it.
 	heartbeat = 1200 * time.Millisecond
 	// copyAge is how old the copy is from which the store comes back, and awayTime how long it is
 	// away.
