--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // exit codes of a case.
@@ -24,12 +25,21 @@
 // started is the deployment that runs, whose processes must not outlive this one.
 var started atomic.Pointer[deployment]
 
-// stopOnSignal ends all processes that were started when this one is asked to end.
+// longest is how long a case may take. It is below the 120 s that a script has, so that all
+// processes can be ended within them.
+const longest = 116 * time.Second
+
+// stopOnSignal ends all processes that were started when this one is asked to end, or after
+// longest. The case then could not run.
 func stopOnSignal() {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	go func() {
-		<-signals
+		select {
+		case <-signals:
+		case <-time.After(longest):
+			fmt.Fprintln(os.Stderr, "standin: the case took too long")
+		}
 		if d := started.Load(); d != nil {
 			d.stop()
 		}
