daemon: log the entries of an older copy that are ignored

Cause: after the store has come back from an older copy, the log does not tell which entries of the first list have no effect, so it does not distinguish the reasons for which a node goes on sending to a server that drains.

Change: one line a batch with the number of ignored entries and the first eight: id, state and the store's revision.

--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +30,8 @@
 	// sent no heartbeat for three intervals of at least 1 s each, so an outage of
 	// less than two intervals removes nothing.
 	outageThreshold = 1500 * time.Millisecond
+	// maxLoggedEntries bounds the entries that one line of the log names.
+	maxLoggedEntries = 8
 )
 
 var topics = [...]follow.Topic{follow.Routes, follow.Upstreams}
@@ -154,6 +158,7 @@
 // have changed. Old changes are those of an older copy of the store. mu must be held.
 func (s *state) applyUpstreams(changes []follow.Change, old bool) bool {
 	changed := false
+	var ignored []string
 	for _, c := range changes {
 		ev, ok := s.decode(follow.Upstreams, c)
 		if !ok {
@@ -161,15 +166,31 @@
 		}
 		switch ev := ev.(type) {
 		case follow.UpstreamUpdated:
+			if old && s.directory.IsOutdated(ev.Entry) {
+				ignored = append(ignored, describeEntry(ev.Entry, c.Revision))
+			}
 			changed = s.directory.Step(fleet.Updated{Entry: ev.Entry, Old: old}) || changed
 		case follow.UpstreamRemoved:
 			changed = s.directory.Step(fleet.Removed{ID: ev.ID}) || changed
 		case follow.NewRoutes:
 		}
 	}
+	if len(ignored) > 0 {
+		s.log.WithFields(logrus.Fields{"ignored": len(ignored), "entries": strings.Join(ignored[:min(len(ignored), maxLoggedEntries)], ", ")}).
+			Info("tier: entries of an older copy of the store are ignored.")
+	}
 	return changed
 }
 
+// describeEntry describes an entry and the store's revision of it in a log.
+func describeEntry(e fleet.Entry, revision uint64) string {
+	state := "ready"
+	if e.Draining() {
+		state = "draining"
+	}
+	return fmt.Sprintf("%s %s at %d", e.ID(), state, revision)
+}
+
 // updateEngine passes the upstreams to the engine. mu must be held.
 func (s *state) updateEngine(revision uint64) {
 	entries := s.directory.Entries()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -53,11 +53,13 @@
 func (UpstreamRemoved) event() {}
 
 // Change is one object that was created, updated or deleted. Raw is the object as
-// the store holds it, so that nodes can forward it.
+// the store holds it, so that nodes can forward it, and Revision the store's own revision
+// at which it was written, for logs.
 type Change struct {
-	Name    string `msgpack:"n"`
-	Raw     []byte `msgpack:"r,omitempty"`
-	Deleted bool   `msgpack:"g,omitempty"`
+	Name     string `msgpack:"n"`
+	Raw      []byte `msgpack:"r,omitempty"`
+	Deleted  bool   `msgpack:"g,omitempty"`
+	Revision uint64 `msgpack:"o,omitempty"`
 }
 
 // Batch is a list of changes that leads from the revision From to Revision, which are made
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -162,7 +162,7 @@
 	now := time.Now()
 	switch ev := ev.(type) {
 	case Updated:
-		if ev.Old && d.isOutdated(ev.Entry) {
+		if ev.Old && d.IsOutdated(ev.Entry) {
 			return false
 		}
 		return d.handleUpdated(ev.Entry)
@@ -186,9 +186,9 @@
 	return false
 }
 
-// isOutdated reports whether more is known of the incarnation than an entry of an older copy
+// IsOutdated reports whether more is known of the incarnation than an entry of an older copy
 // of the registry holds: its present entry, or that it has been removed.
-func (d *Directory) isOutdated(e Entry) bool {
+func (d *Directory) IsOutdated(e Entry) bool {
 	if known, ok := d.entries[e.id]; ok {
 		return known.started >= e.started
 	}
