fleet: a drain in the first list after a restore takes effect

Cause: the first list of a new era was taken for a part of the copy as a whole, and of an incarnation that is known each entry in it was ignored, also one that the server had written since the restore. The list counts as applied, so nothing tells it again.

Change: within an incarnation the number of the report and the state order two entries: a drain counts unless a later report has withdrawn it, and of two entries of the same state the later report counts. It needs no clock and no revision of the store, whose revisions are given out again.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -22,6 +22,7 @@
 	domain    string
 	slots     int
 	started   int64
+	report    uint64
 	draining  bool
 	coldUntil time.Time
 }
@@ -40,6 +41,10 @@
 // since 1970.
 func WithStarted(unixMilli int64) Option { return func(e *Entry) { e.started = unixMilli } }
 
+// WithReport sets the number of the report that the entry is from. Each incarnation of an
+// upstream counts its reports. The default is 0, for upstreams that do not.
+func WithReport(n uint64) Option { return func(e *Entry) { e.report = n } }
+
 // WithDraining sets whether the upstream is draining and accepts no new work. The
 // default is false.
 func WithDraining(yes bool) Option { return func(e *Entry) { e.draining = yes } }
@@ -56,6 +61,19 @@
 	return e
 }
 
+// isLater reports whether the upstream has reported the entry after another one of the same
+// upstream. An incarnation does not stop draining unless a later report says so; reports
+// that are not numbered are told apart by that alone.
+func (e Entry) isLater(other Entry) bool {
+	switch {
+	case e.started != other.started:
+		return e.started > other.started
+	case e.draining != other.draining:
+		return e.draining && e.report >= other.report
+	}
+	return e.report > other.report
+}
+
 // ID identifies the upstream. Together with Started it identifies the incarnation.
 func (e Entry) ID() string { return e.id }
 
@@ -74,6 +92,9 @@
 // Started returns when this incarnation started, in milliseconds since 1970.
 func (e Entry) Started() int64 { return e.started }
 
+// Report returns the number of the report that the entry is from.
+func (e Entry) Report() uint64 { return e.report }
+
 // Draining reports whether the upstream is draining and accepts no new work.
 func (e Entry) Draining() bool { return e.draining }
 
@@ -186,11 +207,11 @@
 	return false
 }
 
-// IsOutdated reports whether more is known of the incarnation than an entry of an older copy
-// of the registry holds: its present entry, or that it has been removed.
+// IsOutdated reports whether more is known of the upstream than an entry holds that may be
+// part of an older copy of the registry: a later entry, or that it has been removed.
 func (d *Directory) IsOutdated(e Entry) bool {
 	if known, ok := d.entries[e.id]; ok {
-		return known.started >= e.started
+		return known.isLater(e)
 	}
 	started, removed := d.removed[e.id]
 	return removed && started >= e.started
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -135,3 +135,34 @@
 		}
 	})
 }
+
+// A drain that was written after the restore must not be taken for a part of the older copy.
+func TestDrainWrittenAfterRestoreIsNotIgnored(t *testing.T) {
+	entry := func(opts ...Option) Entry {
+		return NewEntry("up", "svc", "10.0.0.1:80", append([]Option{WithStarted(1)}, opts...)...)
+	}
+	tests := map[string]struct{ known, listed, want Entry }{
+		"drain without a report number": {entry(), entry(WithDraining(true)), entry(WithDraining(true))},
+		"drain in a later report":       {entry(WithReport(3)), entry(WithReport(5), WithDraining(true)), entry(WithReport(5), WithDraining(true))},
+		"later report":                  {entry(WithReport(3)), entry(WithReport(5), WithSlots(4)), entry(WithReport(5), WithSlots(4))},
+		"earlier report":                {entry(WithReport(3), WithSlots(4)), entry(WithReport(2)), entry(WithReport(3), WithSlots(4))},
+		"ready before the drain":        {entry(WithReport(3), WithDraining(true)), entry(WithReport(2)), entry(WithReport(3), WithDraining(true))},
+		"ready without a report number": {entry(WithDraining(true)), entry(), entry(WithDraining(true))},
+		"drain that was withdrawn":      {entry(WithReport(3), WithDraining(true)), entry(WithReport(4)), entry(WithReport(4))},
+		"earlier incarnation":           {entry(WithStarted(2)), entry(WithDraining(true)), entry(WithStarted(2))},
+		"later incarnation":             {entry(WithDraining(true)), entry(WithStarted(2)), entry(WithStarted(2))},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := New()
+			d.Step(Updated{Entry: test.known})
+			for range 2 { // the store may come back from a copy twice
+				d.Step(Restored{})
+				d.Step(Updated{Entry: test.listed, Old: true})
+			}
+			if got := d.Entries()[0]; got != test.want {
+				t.Errorf("entry = %+v, want %+v", got, test.want)
+			}
+		})
+	}
+}
