fleet: an upstream that a restored store lists is not dropped

A server that is ready could stay unused until its entry changes.

Cause: an entry that is missing is kept for 2.2 s after the store is available again. If the restored store listed an earlier report of it, the entry was ignored as outdated and the 2.2 s went on, so the server was dropped although it was listed. A second restore, of which the copy holds what the first one lacked, is enough.

Change: an entry that is listed is no longer missing, whichever report is in force.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -184,6 +184,7 @@
 	switch ev := ev.(type) {
 	case Updated:
 		if ev.Old && d.IsOutdated(ev.Entry) {
+			d.handleOutdated(ev.Entry)
 			return false
 		}
 		return d.handleUpdated(ev.Entry)
@@ -238,6 +239,13 @@
 	return !known || old != e
 }
 
+// handleOutdated notes that the registry lists an upstream of which more is known.
+func (d *Directory) handleOutdated(e Entry) {
+	if d.entries[e.id].started == e.started {
+		delete(d.missing, e.id)
+	}
+}
+
 func (d *Directory) handleRemoved(id string, now time.Time) bool {
 	e, known := d.entries[id]
 	if !known {
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -166,3 +166,26 @@
 		})
 	}
 }
+
+// An upstream that a restored registry lists must not be dropped as one that is missing.
+func TestUpstreamListedAfterRestoreIsNotDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listed := NewEntry("up", "svc", "10.0.0.1:80", WithStarted(1), WithReport(2))
+		for name, known := range map[string]Entry{
+			"same report":  listed,
+			"later report": NewEntry("up", "svc", "10.0.0.1:80", WithStarted(1), WithReport(3), WithDraining(true)),
+		} {
+			d := New()
+			d.Step(Updated{Entry: known})
+			d.Step(Restored{})
+			d.Step(Removed{ID: "up"}) // the copy lacks it
+			d.Step(Restored{})        // the next copy holds it
+			d.Step(Updated{Entry: listed, Old: true})
+			time.Sleep(2 * settleTime)
+			d.Step(Tick{})
+			if got := d.Entries(); len(got) != 1 || got[0] != known {
+				t.Errorf("%s: entries = %+v, want only %+v", name, got, known)
+			}
+		}
+	})
+}
