fleet: a removed upstream that is listed again is held back, not lost

A server that was removed, for example because it was cut off from the store, and has registered again before the first list after a restore, got no requests until its entry changed.

Cause: the entry of a removed incarnation in that list was ignored, as one that the copy brings back, and the list is not told again.

Change: an entry with a later report than the last one known counts at once. One without is held back for 6 s, in which the store removes it again if the copy has brought it back; an outage or another restore begins this time anew.

Weighed: to believe the list brings servers that have left back into use, and the store's revisions tell nothing, since they are given out again.

--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -155,8 +155,8 @@
 }
 
 // applyUpstreams passes changes to the directory and reports whether the entries
-// have changed. Old changes are those of an older copy of the store. mu must be held.
-func (s *state) applyUpstreams(changes []follow.Change, old bool) bool {
+// have changed. Listed is whether the changes come from a list of the store. mu must be held.
+func (s *state) applyUpstreams(changes []follow.Change, listed bool) bool {
 	changed := false
 	var ignored []string
 	for _, c := range changes {
@@ -166,10 +166,10 @@
 		}
 		switch ev := ev.(type) {
 		case follow.UpstreamUpdated:
-			if old && s.directory.IsOutdated(ev.Entry) {
+			if s.directory.IsOutdated(ev.Entry, listed) {
 				ignored = append(ignored, describeEntry(ev.Entry, c.Revision))
 			}
-			changed = s.directory.Step(fleet.Updated{Entry: ev.Entry, Old: old}) || changed
+			changed = s.directory.Step(fleet.Updated{Entry: ev.Entry, Listed: listed}) || changed
 		case follow.UpstreamRemoved:
 			changed = s.directory.Step(fleet.Removed{ID: ev.ID}) || changed
 		case follow.NewRoutes:
@@ -177,7 +177,7 @@
 	}
 	if len(ignored) > 0 {
 		s.log.WithFields(logrus.Fields{"ignored": len(ignored), "entries": strings.Join(ignored[:min(len(ignored), maxLoggedEntries)], ", ")}).
-			Info("tier: entries of an older copy of the store are ignored.")
+			Info("tier: entries of which more is known are ignored.")
 	}
 	return changed
 }
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -10,6 +10,8 @@
 package fleet
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 )
@@ -105,11 +107,12 @@
 // Tick.
 type Event interface{ event() }
 
-// Updated delivers an entry that is new or changed. Old is set if it comes from the copy
-// that the registry was restored from, and may have been replaced or removed since.
+// Updated delivers an entry that is new or changed. Listed is set if it comes from a list and
+// not from the history of changes. The registry may have been restored from an older copy
+// before, so that more may be known of the upstream.
 type Updated struct {
-	Entry Entry
-	Old   bool
+	Entry  Entry
+	Listed bool
 }
 
 // Removed reports that the registry has removed an entry.
@@ -144,6 +147,10 @@
 	// registry. The registry guarantees that the upstreams that are alive are
 	// listed again within about 2 s.
 	settleTime = 2200 * time.Millisecond
+	// holdTime is how long an entry of a removed upstream is held back. A registry that was
+	// restored removes an upstream without heartbeats after three intervals of at most
+	// 1.2 s, and its writers remove again what they had removed within about 2 s.
+	holdTime = 6 * time.Second
 	// massRemovalWindow and massRemovalShare detect an outage of the registry
 	// that this node did not observe: planned removals do not affect so large
 	// a share of all entries within so short a time.
@@ -163,9 +170,18 @@
 	unavailable bool
 	outageEnd   time.Time // end of the last outage, observed or detected by a mass removal
 	removals    []removal
-	// removed holds the start of the incarnation of each upstream that the registry
-	// has removed, so that an older copy does not bring it back.
-	removed map[string]int64
+	// removed holds the last entry of each upstream that the registry has removed, so
+	// that an older copy does not bring it back.
+	removed map[string]Entry
+	// held holds the entries of removed upstreams that the registry lists. If it is an
+	// older copy that does, it removes them again.
+	held map[string]heldEntry
+}
+
+// heldEntry is an entry that has no effect until a time.
+type heldEntry struct {
+	entry Entry
+	until time.Time
 }
 
 type removal struct {
@@ -175,7 +191,10 @@
 
 // New returns an empty Directory.
 func New() *Directory {
-	return &Directory{entries: make(map[string]Entry), missing: make(map[string]time.Time), removed: make(map[string]int64)}
+	return &Directory{
+		entries: make(map[string]Entry), missing: make(map[string]time.Time),
+		removed: make(map[string]Entry), held: make(map[string]heldEntry),
+	}
 }
 
 // Step applies one event and reports whether the entries have changed.
@@ -183,8 +202,8 @@
 	now := time.Now()
 	switch ev := ev.(type) {
 	case Updated:
-		if ev.Old && d.IsOutdated(ev.Entry) {
-			d.handleOutdated(ev.Entry)
+		if d.IsOutdated(ev.Entry, ev.Listed) {
+			d.handleOutdated(ev.Entry, now)
 			return false
 		}
 		return d.handleUpdated(ev.Entry)
@@ -208,14 +227,20 @@
 	return false
 }
 
-// IsOutdated reports whether more is known of the upstream than an entry holds that may be
-// part of an older copy of the registry: a later entry, or that it has been removed.
-func (d *Directory) IsOutdated(e Entry) bool {
-	if known, ok := d.entries[e.id]; ok {
+// IsOutdated reports whether more is known of the upstream than the entry holds. Listed is as
+// in Updated.
+func (d *Directory) IsOutdated(e Entry, listed bool) bool {
+	known, present := d.entries[e.id]
+	gone, removed := d.removed[e.id]
+	switch {
+	case present && listed:
 		return known.isLater(e)
+	case present:
+		return e.started != 0 && known.started > e.started
+	case removed && listed:
+		return gone.started > e.started || gone.started == e.started && gone.report >= e.report
 	}
-	started, removed := d.removed[e.id]
-	return removed && started >= e.started
+	return false
 }
 
 // drop removes an entry and remembers its incarnation.
@@ -223,30 +248,37 @@
 	if len(d.removed) >= maxRemoved {
 		clear(d.removed)
 	}
-	d.removed[id] = d.entries[id].started
+	d.removed[id] = d.entries[id]
 	delete(d.entries, id)
 	delete(d.missing, id)
 }
 
 func (d *Directory) handleUpdated(e Entry) bool {
 	old, known := d.entries[e.id]
-	if known && old.started > e.started && e.started != 0 {
-		return false
-	}
 	delete(d.missing, e.id)
 	delete(d.removed, e.id)
+	delete(d.held, e.id)
 	d.entries[e.id] = e
 	return !known || old != e
 }
 
-// handleOutdated notes that the registry lists an upstream of which more is known.
-func (d *Directory) handleOutdated(e Entry) {
-	if d.entries[e.id].started == e.started {
+// handleOutdated notes that the registry lists an upstream of which more is known. One that has
+// been removed is held back.
+func (d *Directory) handleOutdated(e Entry, now time.Time) {
+	known, present := d.entries[e.id]
+	if !present {
+		if _, held := d.held[e.id]; !held {
+			d.held[e.id] = heldEntry{entry: e, until: now.Add(holdTime)}
+		}
+		return
+	}
+	if known.started == e.started {
 		delete(d.missing, e.id)
 	}
 }
 
 func (d *Directory) handleRemoved(id string, now time.Time) bool {
+	delete(d.held, id)
 	e, known := d.entries[id]
 	if !known {
 		return false
@@ -298,9 +330,9 @@
 	changed := false
 	for _, e := range entries {
 		present[e.id] = true
-		changed = d.handleUpdated(e) || changed
+		changed = d.Step(Updated{Entry: e, Listed: true}) || changed
 	}
-	for _, id := range d.ids() {
+	for _, id := range append(d.ids(), slices.Collect(maps.Keys(d.held))...) {
 		if !present[id] {
 			changed = d.handleRemoved(id, now) || changed
 		}
@@ -327,9 +359,13 @@
 	for id := range d.missing {
 		d.missing[id] = now.Add(settleTime)
 	}
+	for id, h := range d.held {
+		d.held[id] = heldEntry{entry: h.entry, until: now.Add(holdTime)}
+	}
 }
 
-// expire drops the retained entries whose time has passed.
+// expire drops the retained entries whose time has passed, and adds those that were held back
+// and are still listed.
 func (d *Directory) expire(now time.Time) bool {
 	if d.unavailable {
 		return false
@@ -342,6 +378,11 @@
 		d.drop(id)
 		changed = true
 	}
+	for _, h := range d.held {
+		if !now.Before(h.until) {
+			changed = d.handleUpdated(h.entry) || changed
+		}
+	}
 	return changed
 }
 
@@ -355,6 +396,11 @@
 			at, ok = t, true
 		}
 	}
+	for _, h := range d.held {
+		if !ok || h.until.Before(at) {
+			at, ok = h.until, true
+		}
+	}
 	return at, ok
 }
 
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -109,7 +109,7 @@
 		d.Step(Updated{Entry: entry("new")})
 		d.Step(Restored{})
 		for _, id := range []string{"drained", "removed", "restarted"} {
-			if d.Step(Updated{Entry: entry(id), Old: true}) {
+			if d.Step(Updated{Entry: entry(id), Listed: true}) {
 				t.Errorf("old entry of %s changed the directory", id)
 			}
 		}
@@ -158,7 +158,7 @@
 			d.Step(Updated{Entry: test.known})
 			for range 2 { // the store may come back from a copy twice
 				d.Step(Restored{})
-				d.Step(Updated{Entry: test.listed, Old: true})
+				d.Step(Updated{Entry: test.listed, Listed: true})
 			}
 			if got := d.Entries()[0]; got != test.want {
 				t.Errorf("entry = %+v, want %+v", got, test.want)
@@ -180,7 +180,7 @@
 			d.Step(Restored{})
 			d.Step(Removed{ID: "up"}) // the copy lacks it
 			d.Step(Restored{})        // the next copy holds it
-			d.Step(Updated{Entry: listed, Old: true})
+			d.Step(Updated{Entry: listed, Listed: true})
 			time.Sleep(2 * settleTime)
 			d.Step(Tick{})
 			if got := d.Entries(); len(got) != 1 || got[0] != known {
