daemon: what a node knows outlasts lists of restarted nodes and peers

Within seconds after the store has come back from an older copy, a node that starts could use a server that drains, or an older configuration.

Cause: a node's copy of the store took each object of the first list, also those that the directory ignored, and passed them on to nodes that start. A list that such a node pushes to others was not weighed at all, only the first batch of an era.

Change: in each list an object of which more is known is replaced by the one that the node has, for upstreams and for the configuration. Within an incarnation a change does not end a drain either, unless a later report says so.

Remains: a node that starts and lists the store itself has what the store says until the operator and the servers have written again.

Result: TestListOfRestartedNodeUndoesNothing (usable at a node with the list of a peer "a b c d", want "b c d") and TestPeerPassesOnItsRoutesAfterRestore (version 4, want 7) failed before and pass.

--- a/internal/daemon/restore_test.go
+++ b/internal/daemon/restore_test.go
@@ -64,6 +64,46 @@
 	return strings.Join(ids, " ")
 }
 
+// A node that starts after the store came back older, and has its list from it, must not undo
+// a drain or a removal at the nodes that it passes the list to, nor a node that has the list
+// of a peer.
+func TestListOfRestartedNodeUndoesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTextState(t)
+		s.Apply(follow.Upstreams, list(0, 5, "a ready 1", "b ready 1", "c ready 1"))
+		s.Apply(follow.Upstreams, list(0, 8, "a draining 3", "b ready 1"))
+		s.Apply(follow.Upstreams, list(1, 6, "a ready 1", "b ready 1", "c ready 1"))
+		if got, want := usable(s), "b"; got != want {
+			t.Errorf("usable after the first list = %q, want %q", got, want)
+		}
+		s.Merge(follow.Upstreams, list(1, 9, "a ready 1", "b ready 1", "c ready 1", "d ready 1"))
+		if got, want := usable(s), "b d"; got != want {
+			t.Errorf("usable after the list of a restarted node = %q, want %q", got, want)
+		}
+		started := newTextState(t)
+		started.Merge(follow.Upstreams, s.Since(follow.Upstreams, 0))
+		if got, want := usable(started), "b c d"; got != want {
+			t.Errorf("usable at a node with the list of a peer = %q, want %q", got, want)
+		}
+	})
+}
+
+// An older copy of the store must not give a node that starts an older configuration by way of a
+// peer.
+func TestPeerPassesOnItsRoutesAfterRestore(t *testing.T) {
+	s := newTextState(t)
+	s.Apply(follow.Routes, list(0, 5, "main 4"))
+	s.Apply(follow.Routes, list(0, 8, "main 7"))
+	s.Apply(follow.Routes, list(1, 6, "main 4"))
+	if got, want := string(s.Since(follow.Routes, 0).Changes[0].Raw), "7"; got != want {
+		t.Errorf("version that a peer gets = %s, want %s", got, want)
+	}
+	s.Apply(follow.Routes, list(1, 9, "main 8"))
+	if got, want := s.engine.Routes().Version(), uint64(8); got != want {
+		t.Errorf("version in force = %d, want %d", got, want)
+	}
+}
+
 // A removed upstream that a restored store lists comes into use if it is still listed when one
 // without heartbeats would have been removed, and not before.
 func TestRemovedUpstreamIsNotUsedBecauseOfAnOlderCopy(t *testing.T) {
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -99,37 +101,73 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before, loaded := s.views[t].Position()
+	listed := loaded && b.Revision > before && (b.Full || isNewEra(before, b.Revision))
+	if listed {
+		b.Changes = s.keepLater(t, b.Changes)
+	}
 	changes, ok := s.views[t].Apply(b)
-	restored := false
-	if ok && loaded {
-		restored = s.noteEra(t, before, b.Revision)
+	if ok && loaded && isNewEra(before, b.Revision) {
+		s.noteEra(t, b.Revision)
 	}
 	if !ok || len(changes) == 0 {
 		return nil, ok
 	}
 	if t == follow.Routes {
 		s.applyRoutes(changes, b.Revision)
-	} else if s.applyUpstreams(changes, restored) {
+	} else if s.applyUpstreams(changes, listed) {
 		s.updateEngine(b.Revision)
 	}
 	return changes, true
 }
 
-// noteEra reports whether the store has been restored from an older copy between two
-// revisions of a topic. mu must be held.
-func (s *state) noteEra(t follow.Topic, before, after uint64) bool {
-	old, _ := follow.Era(before)
-	now, revision := follow.Era(after)
-	if now <= old {
-		return false
+// keepLater returns the changes of a list with the objects that this node has in place of those
+// that are older, so that other nodes get these from it. mu must be held.
+func (s *state) keepLater(t follow.Topic, changes []follow.Change) []follow.Change {
+	kept := slices.Clone(changes)
+	var ignored []string
+	for i, c := range changes {
+		raw, known := s.views[t].Object(c.Name)
+		if c.Deleted || !known || bytes.Equal(raw, c.Raw) {
+			continue
+		}
+		ev, ok := s.source.Decode(t, c)
+		if !ok {
+			continue
+		}
+		switch ev := ev.(type) {
+		case follow.NewRoutes:
+			if now := s.engine.Routes(); now != nil && now.Version() > ev.Snapshot.Version() {
+				kept[i].Raw = raw
+			}
+		case follow.UpstreamUpdated:
+			if s.directory.IsOutdated(ev.Entry, true) {
+				kept[i].Raw = raw
+				ignored = append(ignored, describeEntry(ev.Entry, c.Revision))
+			}
+		case follow.UpstreamRemoved:
+		}
 	}
-	s.log.WithFields(logrus.Fields{"topic": t.String(), "era": now, "revision": revision}).
+	s.logIgnored(ignored)
+	return kept
+}
+
+// isNewEra reports whether the store has been restored from an older copy between two revisions
+// of a topic.
+func isNewEra(before, after uint64) bool {
+	old, _ := follow.Era(before)
+	now, _ := follow.Era(after)
+	return now > old
+}
+
+// noteEra notes that the store has been restored from an older copy. mu must be held.
+func (s *state) noteEra(t follow.Topic, at uint64) {
+	era, revision := follow.Era(at)
+	s.log.WithFields(logrus.Fields{"topic": t.String(), "era": era, "revision": revision}).
 		Warn("tier: store was restored from an older copy.")
 	if t == follow.Upstreams {
 		s.directory.Step(fleet.Restored{})
 		s.restored()
 	}
-	return true
 }
 
 // applyRoutes must be called with mu held.
@@ -175,13 +213,19 @@
 		case follow.NewRoutes:
 		}
 	}
-	if len(ignored) > 0 {
-		s.log.WithFields(logrus.Fields{"ignored": len(ignored), "entries": strings.Join(ignored[:min(len(ignored), maxLoggedEntries)], ", ")}).
-			Info("tier: entries of which more is known are ignored.")
-	}
+	s.logIgnored(ignored)
 	return changed
 }
 
+// logIgnored logs the first of the entries that have no effect.
+func (s *state) logIgnored(entries []string) {
+	if len(entries) == 0 {
+		return
+	}
+	s.log.WithFields(logrus.Fields{"ignored": len(entries), "entries": strings.Join(entries[:min(len(entries), maxLoggedEntries)], ", ")}).
+		Info("tier: entries of which more is known are ignored.")
+}
+
 // describeEntry describes an entry and the store's revision of it in a log.
 func describeEntry(e fleet.Entry, revision uint64) string {
 	state := "ready"
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -40,6 +40,14 @@
 	return v.revision, v.loaded
 }
 
+// Object returns the object of the name.
+func (v *View) Object(name string) (raw []byte, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	raw, ok = v.objects[name]
+	return raw, ok
+}
+
 // LastChangeRevision returns the revision of the last batch that contained changes.
 // The objects have not changed since that revision.
 func (v *View) LastChangeRevision() uint64 {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -236,7 +236,8 @@
 	case present && listed:
 		return known.isLater(e)
 	case present:
-		return e.started != 0 && known.started > e.started
+		// The history of changes is in order, except for what another node has listed.
+		return e.started != 0 && known.isLater(e) && (known.started != e.started || known.draining)
 	case removed && listed:
 		return gone.started > e.started || gone.started == e.started && gone.report >= e.report
 	}
