--- a/soak/main.go
+++ b/soak/main.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,13 +36,14 @@
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of seeds to run, one after the other"},
 			&cli.DurationFlag{Name: "duration", Value: 30 * time.Second, Usage: "how long to inject faults for each seed"},
 			&cli.IntFlag{Name: "nodes", Value: 4, Usage: "number of node processes"},
-			&cli.IntFlag{Name: "kinds", Value: len(faults), Usage: "number of fault kinds to draw from, in their fixed order; 14 omits link and calls, 16 crash-request and crash-herd, 18 ending-request, limit and restore, 21 servers-cut, leaving and rest, to reproduce seeds that ran without them"},
+			&cli.IntFlag{Name: "kinds", Value: len(faults), Usage: "number of fault kinds to draw from, in their fixed order; 14 omits link and calls, 16 crash-request and crash-herd, 18 ending-request, limit and restore, 21 servers-cut, leaving and rest, 24 drill, to reproduce seeds that ran without them"},
+			&cli.StringFlag{Name: "often", Usage: "name of a fault kind that is drawn every second time"},
 			&cli.StringFlag{Name: "keep", Usage: "directory in which to keep the logs of the nodes"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			failedSeeds := 0
 			for i := range c.Int("seeds") {
-				o := options{program: c.String("program"), seed: c.Uint64("seed") + uint64(i), duration: c.Duration("duration"), nodes: c.Int("nodes"), keep: c.String("keep"), kinds: c.Int("kinds")}
+				o := options{program: c.String("program"), seed: c.Uint64("seed") + uint64(i), duration: c.Duration("duration"), nodes: c.Int("nodes"), keep: c.String("keep"), kinds: c.Int("kinds"), often: c.String("often")}
 				if err := soak(ctx, o, c.Root().Writer); errors.Is(err, errViolated) {
 					failedSeeds++
 				} else if err != nil {
@@ -69,6 +71,8 @@
 	keep     string
 	// kinds is the number of fault kinds to draw from, in the order of faults.
 	kinds int
+	// often is the name of the fault kind that is drawn every second time, if any.
+	often string
 }
 
 const (
@@ -141,7 +145,7 @@
 	var mu sync.Mutex
 	for time.Now().Before(end) {
 		time.Sleep(e.randomDuration(100*time.Millisecond, 1500*time.Millisecond))
-		f := faults[e.random.IntN(min(max(o.kinds, 1), len(faults)))]
+		f := e.drawFault(o)
 		slots <- struct{}{}
 		mu.Lock()
 		skip := busy[f.name] || isNodeFault(f.name) && (busy["kill"] || busy["pause"] || busy["roll"])
@@ -172,6 +176,16 @@
 	pending.Wait()
 }
 
+// drawFault draws the next kind of fault.
+func (e *testEnv) drawFault(o options) fault {
+	if o.often != "" && e.random.IntN(2) == 0 {
+		if i := slices.IndexFunc(faults, func(f fault) bool { return f.name == o.often }); i >= 0 {
+			return faults[i]
+		}
+	}
+	return faults[e.random.IntN(min(max(o.kinds, 1), len(faults)))]
+}
+
 // isNodeFault reports whether the fault stops or pauses a node process. Such faults
 // do not overlap with each other.
 func isNodeFault(name string) bool { return name == "kill" || name == "pause" || name == "roll" }
