--- a/internal/daemon/state_test.go
+++ b/internal/daemon/state_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 
 	"geraniumstep.org/geraniumstep/internal/follow"
 	"geraniumstep.org/geraniumstep/internal/relay"
@@ -81,3 +82,23 @@
 		})
 	}
 }
+
+// An object that cannot be decoded is logged when it changes, and not with each list.
+func TestOddObjectIsNotLoggedWithEachList(t *testing.T) {
+	log, hook := test.NewNullLogger()
+	engine := relay.New(nil, relay.WithLog(logrus.NewEntry(log)))
+	defer engine.Close()
+	s := newState(engine, textSource{}, logrus.NewEntry(log))
+	for revision := range uint64(5) {
+		s.Apply(follow.Upstreams, list(0, revision+1, "a ready 1", "odd"))
+	}
+	lines := 0
+	for _, e := range hook.AllEntries() {
+		if e.Data["name"] == "odd" {
+			lines++
+		}
+	}
+	if got, want := lines, 1; got != want {
+		t.Errorf("lines about the object = %d, want %d", got, want)
+	}
+}
