relay: a request that comes late in a planned stop is not cut off

What callers saw: a request whose last byte came late in the grace was taken, passed on and run, and cut off at its end without an answer, also one that may run only once.

Cause: nothing related a request to the end of the process. Shutdown waited for the requests in flight, and took new ones until it had waited long enough; then the process ended. The same held for gathered parts, for calls of other nodes, for requests that wait for a slot, and for those that were in flight before the stop and outlasted it.

Change: pkg/finish decides. A request whose own deadline is before the end is served as ever. Otherwise it is sent only if one and a half times the longest answer of its route of the last 30 to 60 s fits, and it is rejected at once as not run if not; a route without an answer does not fit. All deadlines end 100 ms before the process does, also those of requests in flight, which then get the parts that are in, or 504 if they have run and 503 if not. A request waits for a slot for a quarter of its target at most. A call of another node is declined, so that the node sends it another way. A body that is not complete by the end gets 503.

Weighed: to reject all requests from the SIGTERM on is simple, but the balancer sends new ones for 2 s, and most are answered within milliseconds; to wait for the expected time, rather than the longest, cuts off the stragglers.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -297,12 +297,12 @@
 	case <-work.Done():
 		return nil
 	}
-	stopStart := time.Now()
+	stopEnd := time.Now().Add(d.settings.Stop.Grace - stopReserve)
 	d.fire(life.OrderLeave)
-	d.handler.Stop()
+	d.handler.Stop(stopEnd)
 	d.mesh.Leave()
 	tasks.Sleep(work, d.settings.Stop.Notice)
-	end, cancel := context.WithDeadline(work, stopStart.Add(d.settings.Stop.Grace-stopReserve))
+	end, cancel := context.WithDeadline(work, stopEnd)
 	defer cancel()
 	if err := callers.Shutdown(end); err != nil {
 		d.log.WithField("error", err.Error()).Warn("tier: requests were still in flight at the end of the grace period.")
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -97,7 +97,7 @@
 // waitForSlot queues at the upstream's gate and reports whether it got a slot
 // before the deadline or cancellation of the attempt.
 func (r *run) waitForSlot(a *attempt, ticket gate.Ticket) bool {
-	ctx, cancel := context.WithDeadline(r.engine.baseCtx, r.plan.Deadline)
+	ctx, cancel := context.WithDeadline(r.engine.baseCtx, r.slotDeadline())
 	defer cancel()
 	if !a.setWithdraw(cancel) {
 		return false
@@ -149,6 +149,10 @@
 		u.pool.Release(c)
 		return attemptDone{attempt: a, notRun: true, unsent: true, cause: "declined"}, gate.OutcomeCanceled
 	}
+	if !r.fitsStop() {
+		u.pool.Release(c)
+		return attemptDone{attempt: a, notRun: true, unsent: true, cause: "stopping"}, gate.OutcomeCanceled
+	}
 	if !a.setConn(c) || !r.permits.acquire() {
 		u.pool.Release(c)
 		return attemptDone{attempt: a, notRun: true, unsent: true, cause: "finished"}, gate.OutcomeCanceled
@@ -273,7 +277,7 @@
 func (r *run) encode(u *upstream, now time.Time) []byte {
 	r.headOnce.Do(func() { r.head = link.EncodeHead(r.req, r.endToEnd()) })
 	perUpstream := make(http.Header, 2)
-	r.engine.dialect.WriteCall(perUpstream, proto.Call{Upstream: u.entry.ID(), Remaining: r.plan.Deadline.Sub(now)})
+	r.engine.dialect.WriteCall(perUpstream, proto.Call{Upstream: u.entry.ID(), Remaining: r.engine.finish.Clip(r.plan.Deadline).Sub(now)})
 	return link.EncodeRequest(r.head, perUpstream, r.req.Body)
 }
 
--- a/internal/relay/deps.go
+++ b/internal/relay/deps.go
@@ -12,6 +12,9 @@
 
 // Pick implements fanout.Deps.
 func (r *run) Pick(service string, tried []fanout.Upstream) (fanout.Upstream, bool) {
+	if !r.fitsStop() {
+		return nil, false
+	}
 	if g, ok := r.pendingGroups[service]; ok && len(tried) == 0 {
 		delete(r.pendingGroups, service)
 		return g, true
--- a/internal/relay/do.go
+++ b/internal/relay/do.go
@@ -42,6 +42,7 @@
 	}
 	r := e.newRun(req, route, routes.Version())
 	answer := r.screenAndExecute(ctx)
+	r.recordTime(answer)
 	r.log(answer)
 	return answer
 }
@@ -68,9 +69,18 @@
 		r.plan.Services, r.plan.MinAnswered, r.topK = d.Shards(), d.MinShards(), d.TopK()
 		r.plan.Idempotent, r.gather = true, true
 	}
+	e.clip(&r.plan)
 	return r
 }
 
+// recordTime records how long the request has taken, unless it was rejected.
+func (r *run) recordTime(a proto.Answer) {
+	switch a.(type) {
+	case proto.Relayed, proto.Merged, proto.Unknown:
+		r.engine.finish.Record(r.route.Name(), time.Since(r.req.Arrived))
+	}
+}
+
 // fingerprintOf identifies requests that are equal in method, host, path, query and
 // body, and come from the same caller.
 func fingerprintOf(req *proto.Request) poison.Fingerprint {
@@ -88,6 +98,10 @@
 	if !now.Before(r.plan.Deadline) {
 		return proto.Refused{Reason: "deadline has passed"}
 	}
+	if !r.fitsStop() {
+		r.verdict = "stopping"
+		return proto.Refused{Reason: "node is shutting down; send the request to another one"}
+	}
 	if r.mustDetour() && !r.canServe() {
 		r.engine.links.AwaitEnd(ctx, r.plan.SoftDeadline.Sub(now)/awaitEndDivisor)
 	}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -28,6 +28,7 @@
 	"geraniumstep.org/geraniumstep/pkg/advice"
 	"geraniumstep.org/geraniumstep/pkg/canary"
 	"geraniumstep.org/geraniumstep/pkg/crash"
+	"geraniumstep.org/geraniumstep/pkg/finish"
 	"geraniumstep.org/geraniumstep/pkg/fleet"
 	"geraniumstep.org/geraniumstep/pkg/gate"
 	"geraniumstep.org/geraniumstep/pkg/place"
@@ -85,6 +86,9 @@
 	peerCalls     atomic.Int64
 	gatherCancels sync.Map // maps the ID of a gather for another node to its cancel function
 
+	// finish decides what is sent while the node stops.
+	finish *finish.Stop
+
 	routes    atomic.Pointer[vhost.Snapshot]
 	upstreams atomic.Pointer[directory]
 	mu        sync.Mutex // serializes SetUpstreams
@@ -175,7 +179,7 @@
 	e := &Engine{
 		dialect: d, log: logrus.NewEntry(logrus.StandardLogger()), dial: link.Dial,
 		budget: retry.New(), shardBudget: retry.New(), splitter: split.New(), metrics: newMetrics(),
-		lead: defaultLead, canaryMode: canary.OnAlert, memory: memory.New(defaultMemoryBytes), tracker: poison.New(), share: func([]poison.Report) {}, quarantined: func(poison.Fingerprint) {},
+		lead: defaultLead, canaryMode: canary.OnAlert, memory: memory.New(defaultMemoryBytes), tracker: poison.New(), finish: finish.New(), share: func([]poison.Report) {}, quarantined: func(poison.Fingerprint) {},
 		reachable: func(time.Time) bool { return false }, shareLimit: func(quota.News) {}, shareLeaving: func(advice.News) {},
 	}
 	e.nodes.Store(1)
--- a/internal/relay/gatherer.go
+++ b/internal/relay/gatherer.go
@@ -57,6 +57,13 @@
 	g.engine.gatherCancels.Store(call.ID, cancel)
 	defer g.engine.gatherCancels.Delete(call.ID)
 	r := g.engine.gatherRun(call)
+	if !r.fitsStop() {
+		// The calling node can reach the upstreams another way.
+		reply.NotRun, reply.Reached = true, make([]int, len(call.Services))
+		r.verdict = "stopping"
+		r.log(proto.Refused{})
+		return nil
+	}
 	r.req.Memory = g.engine.memory.Open()
 	defer r.req.Memory.Close()
 	rejected, release := r.screen()
@@ -77,6 +84,9 @@
 		return nil
 	}
 	r.reply(reply)
+	if !reply.NotRun {
+		g.engine.finish.Record(call.Route, time.Since(start))
+	}
 	return nil
 }
 
@@ -113,7 +123,7 @@
 	route := vhost.NewRoute(call.Route, call.Host, "", call.destination(),
 		vhost.WithPriority(call.Priority), vhost.WithMaxAttempts(call.Attempts), vhost.WithIdempotent(idempotent),
 		vhost.WithTimeout(call.Deadline), vhost.WithTarget(call.Soft))
-	return &run{
+	r := &run{
 		engine: e, req: req, route: route, version: call.Version, fingerprint: call.Fingerprint, content: call.Content, directory: e.upstreams.Load(),
 		gather: !call.Single, topK: call.TopK, hops: max(call.Hops, 1), cautious: call.Cautious, led: call.Led,
 		plan: fanout.Plan{
@@ -121,6 +131,8 @@
 			SoftDeadline: now.Add(call.Soft), Deadline: now.Add(call.Deadline),
 		},
 	}
+	e.clip(&r.plan)
+	return r
 }
 
 // destination returns where the call is sent.
--- a/internal/relay/http.go
+++ b/internal/relay/http.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,8 @@
 	// retries.
 	minRetryAfter = 50 * time.Millisecond
 	retrySpread   = 0.3
+	// maxBodyTime is longer than any stop lasts.
+	maxBodyTime = time.Hour
 )
 
 // Handler serves HTTP requests of callers.
@@ -37,8 +40,12 @@
 // Handler returns the HTTP handler for callers.
 func (e *Engine) Handler() *Handler { return &Handler{engine: e} }
 
-// Stop makes callers close their connections after the next response.
-func (h *Handler) Stop() { h.stopping.Store(true) }
+// Stop makes callers close their connections after the next response, and answers all requests
+// by the given time.
+func (h *Handler) Stop(end time.Time) {
+	h.stopping.Store(true)
+	h.engine.StopBy(end)
+}
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -62,7 +69,9 @@
 	if s := h.engine.Routes(); s != nil && s.Limits().MaxBodyBytes() > 0 {
 		limit = s.Limits().MaxBodyBytes()
 	}
+	release := h.endBodyInStop(w, r)
 	body, err := account.ReadAll(http.MaxBytesReader(w, r.Body, limit), limit)
+	release()
 	if err != nil {
 		return nil, h.bodyError(err)
 	}
@@ -76,6 +85,33 @@
 	}, nil
 }
 
+// endBodyInStop ends the reading of the body at the end of a stop. The returned function must be
+// called when the body has been read.
+func (h *Handler) endBodyInStop(w http.ResponseWriter, r *http.Request) (release func()) {
+	if r.ContentLength == 0 {
+		return func() {}
+	}
+	read, stopped := make(chan struct{}), make(chan struct{})
+	control := http.NewResponseController(w)
+	go func() {
+		defer close(stopped)
+		select {
+		case <-read:
+			return
+		case <-h.engine.finish.Begun():
+		}
+		// An end that cannot be set leaves the request to the end of the process.
+		_ = control.SetReadDeadline(h.engine.finish.Clip(time.Now().Add(maxBodyTime)))
+		<-read
+		// Otherwise the request would count as abandoned at the end.
+		_ = control.SetReadDeadline(time.Time{})
+	}()
+	return func() {
+		close(read)
+		<-stopped
+	}
+}
+
 // callerOf returns the caller's IP address. The port differs between its connections.
 func callerOf(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
@@ -90,6 +126,9 @@
 		h.engine.metrics.exhausted.Inc()
 		return proto.Refused{Reason: err.Error(), RetryAfter: defaultRetryAfter}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return proto.Refused{Reason: "node is shutting down, and the body is not complete; send the request to another one"}
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return proto.Invalid{Status: http.StatusRequestEntityTooLarge, Reason: "body is larger than " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"}
--- a/internal/relay/peergroup.go
+++ b/internal/relay/peergroup.go
@@ -163,7 +163,7 @@
 func (r *run) gatherCall(g *peerGroup) *GatherCall {
 	// The latency counts in both directions, because the called node measures
 	// the target from the arrival of the call.
-	soft := r.plan.SoftDeadline.Add(-2*time.Duration(g.peer.oneWay.Load()) - replyMargin)
+	soft := r.engine.finish.Clip(r.plan.SoftDeadline).Add(-2*time.Duration(g.peer.oneWay.Load()) - replyMargin)
 	now := time.Now()
 	full := len(g.services) == len(r.plan.Services)
 	minLegs := 1
@@ -174,7 +174,7 @@
 		ID: g.id, Request: r.req.ID, Route: r.route.Name(), Method: r.req.Method, Host: r.req.Host, Target: r.req.Target,
 		Header: r.endToEnd(), Body: r.req.Body, Services: g.services, TopK: r.topK, MinLegs: minLegs,
 		Attempts: g.upstreamLimit, Single: !r.gather, Idempotent: r.plan.Idempotent, Priority: r.route.Priority(), Hops: r.hops + 1, Version: r.version, Fingerprint: r.fingerprint, Content: r.content, Cautious: r.cautious, Led: r.plan.Lead > 0 || r.led || r.awaited,
-		created: now, Soft: soft.Sub(now), Deadline: r.plan.Deadline.Sub(now) - replyMargin,
+		created: now, Soft: soft.Sub(now), Deadline: r.engine.finish.Clip(r.plan.Deadline).Sub(now) - replyMargin,
 	}
 }
 
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -59,6 +59,9 @@
 
 // AvailableIn implements fanout.Deps. A service without upstreams may get one at any time.
 func (r *run) AvailableIn(service string) (time.Duration, bool) {
+	if !time.Now().Before(r.slotDeadline()) {
+		return 0, false
+	}
 	p, ok := r.directory.byService[service]
 	if !ok {
 		return 0, true
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -110,7 +110,8 @@
 	r.planGroups()
 	r.planCanary()
 	r.machine = fanout.New(r.plan, r)
-	cut := r.engine.links.CutSignal()
+	cut, stopping := r.engine.links.CutSignal(), r.engine.finish.Begun()
+	var withdraw <-chan time.Time
 	timer := time.NewTimer(time.Until(r.plan.Deadline))
 	defer timer.Stop()
 	outcome, finished := r.apply(fanout.Start{})
@@ -125,6 +126,14 @@
 		case <-cut:
 			cut = nil
 			r.leaveUpstreams()
+		case <-stopping:
+			stopping = nil
+			outcome, finished = r.apply(fanout.Shorten{Deadline: r.engine.finish.Clip(r.plan.Deadline)})
+			if latest, ok := r.latestSend(); ok {
+				withdraw = time.After(time.Until(latest))
+			}
+		case <-withdraw:
+			r.withdrawUnsent()
 		case <-ctx.Done():
 			r.abandon()
 			return 0, false
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -119,6 +119,9 @@
 	case Failed:
 		f.doubt.failed(ev, f.answered, now)
 		f.handleFailed(ev, now)
+	case Shorten:
+		f.plan.Deadline = earlier(f.plan.Deadline, ev.Deadline)
+		f.plan.SoftDeadline = earlier(f.plan.SoftDeadline, ev.Deadline)
 	case Tick:
 		f.tickCanary(now)
 		for i := range f.legs {
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -308,3 +308,30 @@
 		}
 	})
 }
+
+// A request in flight when the process stops must end before the process does, with the answers
+// that it has by then.
+func TestShortenedRequestEndsAtTheNewDeadline(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		answered int
+		want     Outcome
+	}{{"nothing answered", 0, OutcomeExpired}, {"enough answered", 1, OutcomePartial}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := New(plan(2, 1), &fakeDeps{hedgeAfter: time.Hour})
+				f.Step(Start{})
+				f.Step(Shorten{Deadline: time.Now().Add(time.Hour)}) // later than its own
+				f.Step(Shorten{Deadline: time.Now().Add(100 * time.Millisecond)})
+				if c.answered > 0 {
+					f.Step(Answered{Attempt: 0})
+				}
+				time.Sleep(time.Until(f.Wake()))
+				got, ended := outcome(f.Step(Tick{}))
+				if !ended || got != c.want {
+					t.Errorf("outcome after 100 ms = %v, %v, want %v", got, ended, c.want)
+				}
+			})
+		})
+	}
+}
--- a/pkg/fanout/types.go
+++ b/pkg/fanout/types.go
@@ -89,7 +89,7 @@
 	NextTrial() time.Time
 }
 
-// Event is an input of Step: Start, Answered, Failed or Tick.
+// Event is an input of Step: Start, Answered, Failed, Shorten or Tick.
 type Event interface{ event() }
 
 // Start begins the request.
@@ -115,12 +115,16 @@
 	Unreached int
 }
 
+// Shorten reports that the request must end by the deadline, if that is before its own.
+type Shorten struct{ Deadline time.Time }
+
 // Tick reports that the time returned by Wake has passed.
 type Tick struct{}
 
 func (Start) event()    {}
 func (Answered) event() {}
 func (Failed) event()   {}
+func (Shorten) event()  {}
 func (Tick) event()     {}
 
 // Action is an output of Step: Send, Cancel or Finish.
