node: a request that comes late in a planned stop of serve is not cut off

A submission that its caller has sent before is answered 504 (ask another node with the same key), since it may have run at another node; all others are rejected as not run. Requests in flight are answered before the end.

Remains: a body that is not complete at the end gets no answer; nothing of it was sent.

--- a/internal/api/transcript_test.go
+++ b/internal/api/transcript_test.go
@@ -28,10 +28,13 @@
 // fixture is a node with a fake platform and fake upstreams. It records HTTP
 // requests and responses in a transcript, which is compared with a golden file.
 type fixture struct {
-	t          *testing.T
-	platform   *fakes.Platform
-	recorder   *fakes.Recorder
-	node       *node.Node
+	t         *testing.T
+	platform  *fakes.Platform
+	recorder  *fakes.Recorder
+	node      *node.Node
+	upstreams []*fakes.Upstream
+	// stop begins the planned stop of the node.
+	stop       context.CancelFunc
 	transcript bytes.Buffer
 }
 
@@ -54,6 +57,7 @@
 		}
 		t.Cleanup(u.Crash)
 		u.SkipColdStart()
+		f.upstreams = append(f.upstreams, u)
 		ids = append(ids, id)
 		spec.Upstreams = append(spec.Upstreams, layout.UpstreamSpec{ID: id, Addr: u.Addr(), Domain: "d", Slots: 2, Conns: 25})
 	}
@@ -88,6 +92,7 @@
 	n.Handle(api.New(n))
 	f.node = n
 	ctx, cancel := context.WithCancel(context.Background())
+	f.stop = cancel
 	done := make(chan error, 1)
 	go func() { done <- n.Run(ctx) }()
 	f.t.Cleanup(func() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	"geraniumstep.org/geraniumstep/internal/tasks"
 	"geraniumstep.org/geraniumstep/pkg/budget"
 	"geraniumstep.org/geraniumstep/pkg/config"
+	"geraniumstep.org/geraniumstep/pkg/finish"
 	"geraniumstep.org/geraniumstep/pkg/gate"
 	"geraniumstep.org/geraniumstep/pkg/layout"
 	"geraniumstep.org/geraniumstep/pkg/life"
@@ -61,12 +62,17 @@
 	packets net.PacketConn
 	server  *http.Server
 
-	life        *life.Node
-	ready       atomic.Bool
-	syncer      *syncer.Syncer
-	view        atomic.Pointer[roster.View]
-	table       *route.Table
-	tracker     *poison.Tracker
+	life    *life.Node
+	ready   atomic.Bool
+	syncer  *syncer.Syncer
+	view    atomic.Pointer[roster.View]
+	table   *route.Table
+	tracker *poison.Tracker
+	// finish decides what is sent while the node stops. answering is done when all requests
+	// must have been answered.
+	finish      *finish.Stop
+	answering   context.Context
+	endAnswers  context.CancelFunc
 	front       *front.Front
 	peers       *peer.Peers
 	admission   *admission
@@ -111,6 +117,7 @@
 		network:  hostNetwork{},
 		store:    st,
 		tracker:  poison.New(),
+		finish:   finish.New(),
 		hedges:   budget.New(set.Routing.HedgeBudget),
 		rescues:  budget.New(set.Routing.RescueBudget),
 		retries:  budget.New(set.Routing.RetryBudget),
@@ -126,6 +133,7 @@
 		return nil, err
 	}
 	n.work, n.stop = context.WithCancel(context.Background())
+	n.answering, n.endAnswers = context.WithCancel(n.work)
 	n.buildParts()
 	if err := n.listen(); err != nil {
 		n.closeListeners()
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -76,7 +76,7 @@
 	if req.Timeout > 0 {
 		allowed = min(allowed, req.Timeout)
 	}
-	r.deadline = r.arrived.Add(allowed)
+	r.deadline = n.finish.Clip(r.arrived.Add(allowed))
 	r.fingerprint = poison.FingerprintOf(params, t.Name(), w.Name())
 	return r, nil
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -121,6 +121,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Stop.Notice+n.settings.Stop.Grace)
 	defer cancel()
 	start := time.Now()
+	n.beginStop(start.Add(n.settings.Stop.Notice + n.settings.Stop.Grace))
 	n.fireOrder(life.OrderLeave)
 	n.server.SetKeepAlivesEnabled(false)
 	n.members.step(member.SetReady{Ready: false})
--- a/internal/node/search.go
+++ b/internal/node/search.go
@@ -50,7 +50,16 @@
 	if p := n.rejectQuarantined(r.fingerprint); p != nil {
 		return nil, p
 	}
-	return n.runAdmitted(ctx, r)
+	if p := n.fitsStop(r, false); p != nil {
+		return nil, p
+	}
+	ctx, cancel := n.untilEnd(ctx)
+	defer cancel()
+	answer, p := n.runAdmitted(ctx, r)
+	if p == nil || p.Kind == wire.KindUnknown {
+		n.recordTime(r)
+	}
+	return answer, p
 }
 
 // runAdmitted runs a search once admission control accepts it. If an upstream no
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -46,7 +46,15 @@
 	if err != nil {
 		return nil, problem(http.StatusBadRequest, wire.KindInvalid, "idempotency key not accepted", err.Error())
 	}
+	if p := n.fitsStop(r, !req.FirstSend); p != nil {
+		return nil, p
+	}
+	ctx, cancel := n.untilEnd(ctx)
+	defer cancel()
 	reply := n.submitToOwner(ctx, r, key, req)
+	if reply.Outcome.Status != dedup.NotRun {
+		n.recordTime(r)
+	}
 	n.metrics.submitted.WithLabelValues(r.workspace.Priority().String(), reply.Outcome.Status.String()).Inc()
 	if reply.Outcome.Status == dedup.NotRun {
 		if p := n.rejectQuarantined(r.fingerprint); p != nil {
