soak: two builds side by side

Cause: the users replace machines one after the other, with old and new builds in one deployment, and the soak ran one build.

--- a/soak/env.go
+++ b/soak/env.go
@@ -45,7 +45,8 @@
 // testEnv is the deployment under test: the store, the servers and the nodes.
 type testEnv struct {
 	random      *rand.Rand
-	program     string
+	programs    []string // the builds that the starts of nodes run in turn
+	starts      atomic.Int64
 	dir         string
 	checker     *checker
 	store       *fakes.Store
@@ -74,11 +75,14 @@
 	closed    bool
 }
 
-func newTestEnv(seed uint64, program, dir string, nodes int) (*testEnv, error) {
+func newTestEnv(o options, dir string) (*testEnv, error) {
 	e := &testEnv{
-		random: rand.New(rand.NewPCG(seed, 1)), program: program, dir: dir, checker: newChecker(), store: fakes.NewStore(),
+		random: rand.New(rand.NewPCG(o.seed, 1)), programs: []string{o.program}, dir: dir, checker: newChecker(), store: fakes.NewStore(),
 		servers: make(map[string]*server), notRun: make(map[string]attempt), submissions: make(map[string]attempt), receivers: make(map[string]string),
 	}
+	if o.beside != "" {
+		e.programs = append(e.programs, o.beside)
+	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -95,7 +99,12 @@
 		return nil, err
 	}
 	e.configure("old")
-	return e, e.startNodes(nodes)
+	return e, e.startNodes(o.nodes)
+}
+
+// nextProgram returns the build that the next start of a node runs.
+func (e *testEnv) nextProgram() string {
+	return e.programs[int(e.starts.Add(1)-1)%len(e.programs)]
 }
 
 // startServers starts n servers of a service, alternately in the two zones.
--- a/soak/main.go
+++ b/soak/main.go
@@ -32,6 +32,7 @@
 		Usage: "run a randomized fault-injection test against real node processes",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "program", Required: true, Usage: "path of the geraniumstep binary"},
+			&cli.StringFlag{Name: "beside", Usage: "path of another build, which every second start of a node runs"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed"},
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of seeds to run, one after the other"},
 			&cli.DurationFlag{Name: "duration", Value: 30 * time.Second, Usage: "how long to inject faults for each seed"},
@@ -43,7 +44,7 @@
 		Action: func(ctx context.Context, c *cli.Command) error {
 			failedSeeds := 0
 			for i := range c.Int("seeds") {
-				o := options{program: c.String("program"), seed: c.Uint64("seed") + uint64(i), duration: c.Duration("duration"), nodes: c.Int("nodes"), keep: c.String("keep"), kinds: c.Int("kinds"), often: c.String("often")}
+				o := options{program: c.String("program"), beside: c.String("beside"), seed: c.Uint64("seed") + uint64(i), duration: c.Duration("duration"), nodes: c.Int("nodes"), keep: c.String("keep"), kinds: c.Int("kinds"), often: c.String("often")}
 				if err := soak(ctx, o, c.Root().Writer); errors.Is(err, errViolated) {
 					failedSeeds++
 				} else if err != nil {
@@ -64,7 +65,9 @@
 
 // options are the settings for the run of one seed.
 type options struct {
-	program  string
+	program string
+	// beside is another build of the program, if any. Every second start of a node runs it.
+	beside   string
 	seed     uint64
 	duration time.Duration
 	nodes    int
@@ -97,7 +100,7 @@
 	} else if err := os.MkdirAll(dir, 0o700); err != nil {
 		return err
 	}
-	e, err := newTestEnv(o.seed, o.program, dir, o.nodes)
+	e, err := newTestEnv(o, dir)
 	if err != nil {
 		return err
 	}
--- a/soak/node.go
+++ b/soak/node.go
@@ -77,7 +77,7 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(n.env.program, "relay", "--config", path)
+	cmd := exec.Command(n.env.nextProgram(), "relay", "--config", path)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
