platform: long objects are skipped without being read through

Cause: with odd entries of 5 and 9 MB each reply was gone through five times, byte by byte; with the race detector that took longer than the time of a watch, so the node read it again and again.

--- a/internal/spans/spans.go
+++ b/internal/spans/spans.go
@@ -7,6 +7,7 @@
 package spans
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 )
@@ -127,14 +128,21 @@
 
 // skipString skips a string, at whose opening quote the scanner stands.
 func (s *scanner) skipString() bool {
-	for s.at++; s.at < len(s.data); s.at++ {
-		switch s.data[s.at] {
-		case '\\':
-			s.at++
-		case '"':
+	start := s.at + 1
+	for s.at = start; ; s.at++ {
+		quote := bytes.IndexByte(s.data[s.at:], '"')
+		if quote < 0 {
+			s.at = len(s.data)
+			return false
+		}
+		s.at += quote
+		escapes := 0
+		for s.at-escapes > start && s.data[s.at-escapes-1] == '\\' {
+			escapes++
+		}
+		if escapes%2 == 0 {
 			s.at++
 			return true
 		}
 	}
-	return false
 }
