finish: no lock before a stop begins

Cause: each request took the lock of the history several times, though only a stop needs it.

Change: the end is an atomic pointer, read first.

Result: the tests of finish, relay, api and platform that concern stops pass.

--- a/pkg/finish/finish.go
+++ b/pkg/finish/finish.go
@@ -13,6 +13,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,11 +28,11 @@
 
 // Stop is the shutdown of a process, which may lie ahead. It is safe for concurrent use.
 type Stop struct {
+	// end is by when all requests must be answered, or nil before the shutdown.
+	end   atomic.Pointer[time.Time]
 	begun chan struct{}
 
 	mu sync.Mutex
-	// end is by when all requests must be answered, or zero before the shutdown.
-	end time.Time
 	// current and old hold how long the answers to each kind of request have taken at most,
 	// since the time since and in the generation before.
 	current, old map[string]time.Duration
@@ -46,10 +47,7 @@
 // Begin begins the shutdown. All requests must be answered by the end. Later calls have no
 // effect.
 func (s *Stop) Begin(end time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.end.IsZero() {
-		s.end = end
+	if s.end.CompareAndSwap(nil, &end) {
 		close(s.begun)
 	}
 }
@@ -59,10 +57,8 @@
 
 // Clip returns the earlier one of a deadline and the end.
 func (s *Stop) Clip(deadline time.Time) time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.end.IsZero() && s.end.Before(deadline) {
-		return s.end
+	if end := s.end.Load(); end != nil && end.Before(deadline) {
+		return *end
 	}
 	return deadline
 }
@@ -87,11 +83,12 @@
 // be answered before the end: the zero time if that is not known of any. It reports false if the
 // end does not limit the request.
 func (s *Stop) LatestStart(kind string, deadline time.Time) (at time.Time, limited bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.end.IsZero() || deadline.Before(s.end) {
+	end := s.end.Load()
+	if end == nil || deadline.Before(*end) {
 		return time.Time{}, false
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.rotate(time.Now())
 	longest, known := s.current[kind]
 	if old, ok := s.old[kind]; ok {
@@ -100,7 +97,7 @@
 	if !known {
 		return time.Time{}, true
 	}
-	return s.end.Add(-time.Duration(slackRatio * float64(longest))), true
+	return end.Add(-time.Duration(slackRatio * float64(longest))), true
 }
 
 // rotate begins a new generation when the current one is old. mu must be held.
--- a/pkg/finish/finish_test.go
+++ b/pkg/finish/finish_test.go
@@ -45,7 +45,7 @@
 		s := New()
 		latest := func() time.Duration {
 			at, _ := s.LatestStart("a", time.Now().Add(48*time.Hour))
-			return s.end.Sub(at)
+			return s.end.Load().Sub(at)
 		}
 		s.Begin(time.Now().Add(24 * time.Hour))
 		s.Record("a", 2*time.Second)
