--- a/internal/daemon/restore_test.go
+++ b/internal/daemon/restore_test.go
@@ -128,3 +128,21 @@
 		}
 	})
 }
+
+// A node that joins while the store is away, and has the list from a peer, must not undo a drain
+// or a removal when it reads the restored store, nor when that is restored again.
+func TestNodeThatJoinsDuringOutageUndoesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peer, joined := newTextState(t), newTextState(t)
+		peer.Apply(follow.Upstreams, list(0, 5, "a ready 1", "b ready 1"))
+		peer.Apply(follow.Upstreams, list(0, 8, "a draining 3", "b ready 1", "c ready 1"))
+		joined.Merge(follow.Upstreams, peer.Since(follow.Upstreams, 0))
+		for era := range uint64(2) {
+			joined.Apply(follow.Upstreams, list(era+1, 6, "a ready 1", "b draining 4"))
+			if got, want := usable(joined), "c"; got != want {
+				t.Errorf("usable after restore %d = %q, want %q, which is missing but kept", era+1, got, want)
+			}
+			time.Sleep(time.Second)
+		}
+	})
+}
