relay: the test of cut-off heads does not depend on the hedge delay

Cause: the test's. The upstream that cuts its response off is tried first. If it takes longer than 36 ms to accept, the engine hedges, and the whole upstream answers before the other one has read the request. A scratch copy that accepts after 60 ms fails in this way at each cut. Change: the whole upstream responds once the other one has closed its connection. The checks are the same, also that the other one got the request.

--- a/internal/relay/head_test.go
+++ b/internal/relay/head_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -33,16 +34,24 @@
 	return append(cuts, len(fullHead)-2, len(fullHead)-1)
 }
 
-// newCutUpstream starts an upstream that answers each request with the first bytes of a
-// response and closes the connection. Its record would be the greatest.
-func newCutUpstream(t *testing.T, end int) (addr string, requests *atomic.Int64) {
+// cutUpstream is an upstream that answers each request with the first bytes of a response and
+// closes the connection. Its record would be the greatest.
+type cutUpstream struct {
+	addr     string
+	requests atomic.Int64
+	// closed is closed when a connection has been closed.
+	closed chan struct{}
+}
+
+func newCutUpstream(t *testing.T, end int) *cutUpstream {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	requests = new(atomic.Int64)
+	u := &cutUpstream{addr: l.Addr().String(), closed: make(chan struct{})}
+	var once sync.Once
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -50,17 +59,18 @@
 				return
 			}
 			go func() {
+				defer once.Do(func() { close(u.closed) })
 				defer c.Close()
 				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 					if r.Header.Get("Id") != "" {
-						requests.Add(1)
+						u.requests.Add(1)
 					}
 					_, _ = io.WriteString(c, (fullHead + fullBody)[:end])
 				}
 			}()
 		}
 	}()
-	return l.Addr().String(), requests
+	return u
 }
 
 // checkNoPart fails the test if the answer names the upstream that cut its response off.
@@ -85,23 +95,30 @@
 func TestResponseCutOffInItsHeadReachesNoCaller(t *testing.T) {
 	single := func(idempotent bool) func(t *testing.T, end int) {
 		return func(t *testing.T, end int) {
-			addr, requests := newCutUpstream(t, end)
+			cut := newCutUpstream(t, end)
 			up := newFakeUpstream(t, "up-whole")
+			// A hedge, which a busy machine may cause, gets its response after the other one.
+			up.setHandler(func(w http.ResponseWriter, r *http.Request) {
+				select {
+				case <-cut.closed:
+				case <-r.Context().Done():
+				}
+				_, _ = fmt.Fprintf(w, "%-16s", up.id)
+			})
 			// The whole upstream is farther away, so that the other one is tried first.
-			e := newEngine(t, []*vhost.Route{singleRoute("svc", idempotent)}, fleet.NewEntry("up-cut", "svc", addr, fleet.WithDomain("a1")), up.entry("svc", fleet.WithDomain("b1")))
+			e := newEngine(t, []*vhost.Route{singleRoute("svc", idempotent)}, fleet.NewEntry("up-cut", "svc", cut.addr, fleet.WithDomain("a1")), up.entry("svc", fleet.WithDomain("b1")))
 			WithLocality("a1", map[string]string{"a1": "a", "b1": "b"})(e)
-			e.SetUpstreams([]fleet.Entry{fleet.NewEntry("up-cut", "svc", addr, fleet.WithDomain("a1"), fleet.WithStarted(2)), up.entry("svc", fleet.WithDomain("b1"), fleet.WithStarted(2))})
+			e.SetUpstreams([]fleet.Entry{fleet.NewEntry("up-cut", "svc", cut.addr, fleet.WithDomain("a1"), fleet.WithStarted(2)), up.entry("svc", fleet.WithDomain("b1"), fleet.WithStarted(2))})
 			answer := e.Do(context.Background(), request("single", "r-1"))
 			checkNoPart(t, end, answer)
-			if _, relayed := answer.(proto.Relayed); relayed != idempotent || requests.Load() != 1 {
-				t.Errorf("cut after %d bytes: %+v after %d requests, want a second attempt: %v", end, answer, requests.Load(), idempotent)
+			if _, relayed := answer.(proto.Relayed); relayed != idempotent || cut.requests.Load() != 1 {
+				t.Errorf("cut after %d bytes: %+v after %d requests, want a second attempt: %v", end, answer, cut.requests.Load(), idempotent)
 			}
 		}
 	}
 	gathered := func(t *testing.T, end int) {
 		names, _, entries := newShards(t, 4)
-		addr, _ := newCutUpstream(t, end)
-		entries[2] = fleet.NewEntry("up-cut", names[2], addr)
+		entries[2] = fleet.NewEntry("up-cut", names[2], newCutUpstream(t, end).addr)
 		e := newEngine(t, []*vhost.Route{gatherRoute(names, 0.75)}, entries...)
 		answer := e.Do(context.Background(), request("search", "r-1"))
 		checkNoPart(t, end, answer)
@@ -111,12 +128,12 @@
 	}
 	delegated := func(t *testing.T, end int) {
 		p := newNodePair(t, 0.5)
-		addr, requests := newCutUpstream(t, end)
+		cut := newCutUpstream(t, end)
 		var entries []fleet.Entry
 		for i, up := range slices.Concat(p.nearUps, p.farUps) {
 			entry := up.entry(fmt.Sprintf("shard-%d", i), fleet.WithDomain(map[bool]string{true: "a1", false: "b1"}[i < 3]))
 			if i == 4 {
-				entry = fleet.NewEntry("up-cut", "shard-4", addr, fleet.WithDomain("b1"))
+				entry = fleet.NewEntry("up-cut", "shard-4", cut.addr, fleet.WithDomain("b1"))
 			}
 			entries = append(entries, entry)
 		}
@@ -124,14 +141,13 @@
 		p.far.SetUpstreams(entries)
 		answer := p.near.Do(context.Background(), request("search", "r-1"))
 		checkNoPart(t, end, answer)
-		if a, ok := answer.(proto.Merged); !ok || a.Missing != 1 || p.calls == 0 || requests.Load() == 0 {
+		if a, ok := answer.(proto.Merged); !ok || a.Missing != 1 || p.calls == 0 || cut.requests.Load() == 0 {
 			t.Errorf("cut after %d bytes: %+v after %d calls, want six parts", end, answer, p.calls)
 		}
 	}
 	// A node that is cut off from the upstreams sends a request by way of a peer.
 	forwarded := func(t *testing.T, end int) {
-		addr, _ := newCutUpstream(t, end)
-		e := newEngine(t, nil, fleet.NewEntry("up-cut", "svc", addr))
+		e := newEngine(t, nil, fleet.NewEntry("up-cut", "svc", newCutUpstream(t, end).addr))
 		call := &GatherCall{
 			ID: "g-1", Request: "r-1", Route: "one", Method: http.MethodPost, Host: "single", Target: "/", Header: http.Header{"Id": {"r-1"}},
 			Services: []string{"svc"}, Attempts: 2, Soft: time.Second, Deadline: time.Second,
@@ -145,8 +161,7 @@
 		}
 	}
 	probe := func(t *testing.T, end int) {
-		addr, _ := newCutUpstream(t, end)
-		e := newEngine(t, nil, fleet.NewEntry("up-cut", "svc", addr))
+		e := newEngine(t, nil, fleet.NewEntry("up-cut", "svc", newCutUpstream(t, end).addr))
 		u := e.upstreams.Load().byID["up-cut"]
 		c, err := u.pool.Open(context.Background())
 		if err != nil {
