known: the output of tests that did not finish is printed

Cause: the judge prints the output of a test when it fails. A test whose process ends has no outcome, so its output, which holds the reason, was dropped. Change: the output of unfinished tests is printed before the verdict. Evidence: TestOutputOfUnfinishedTestIsPrinted failed before (the output held the verdict only).

--- a/internal/known/known_test.go
+++ b/internal/known/known_test.go
@@ -67,3 +67,21 @@
 		}
 	}
 }
+
+// The output of a test whose process ended must be printed: it was dropped, and nothing showed
+// why the process had ended.
+func TestOutputOfUnfinishedTestIsPrinted(t *testing.T) {
+	events := append(
+		[]event{
+			{Action: "run", Package: "m/a", Test: "TestEnds"},
+			{Action: "output", Package: "m/a", Test: "TestEnds", Output: "fatal error: out of memory\n"},
+		},
+		pkgEnd("m/a", "fail", "FAIL")...)
+	var out strings.Builder
+	if err := judge(strings.NewReader(stream(t, events...)), &out, nil); !errors.Is(err, errRed) {
+		t.Errorf("judge() = %v, want %v", err, errRed)
+	}
+	if got, want := out.String(), "fatal error: out of memory"; !strings.Contains(got, want) {
+		t.Errorf("output = %q, want it to contain %q", got, want)
+	}
+}
--- a/internal/known/main.go
+++ b/internal/known/main.go
@@ -83,6 +83,9 @@
 	if err := lines.Err(); err != nil {
 		return fmt.Errorf("cannot read the output of go test: %w", err)
 	}
+	for _, id := range r.unfinished() {
+		fmt.Fprint(out, r.outputOf(id))
+	}
 	red := r.unlisted(known)
 	for _, problem := range red {
 		fmt.Fprintln(out, "RED:", problem)
--- a/internal/known/result.go
+++ b/internal/known/result.go
@@ -17,6 +17,9 @@
 	Output     string `json:"Output"`
 }
 
+// outcomeUnfinished is the outcome of a test that has started and not ended.
+const outcomeUnfinished = "unfinished"
+
 // results holds the output and the outcome of each test and package.
 type results struct {
 	output   map[testID]*strings.Builder
@@ -32,7 +35,7 @@
 	id := testID{cmp.Or(ev.Package, ev.ImportPath), ev.Test}
 	switch ev.Action {
 	case "run":
-		r.outcomes[id] = "unfinished"
+		r.outcomes[id] = outcomeUnfinished
 	case "pass", "fail", "skip":
 		r.outcomes[id] = ev.Action
 	case "build-fail":
@@ -52,12 +55,31 @@
 	if ev.Test == "" {
 		return ev.Output
 	}
+	return r.outputOf(id)
+}
+
+func (r *results) outputOf(id testID) string {
 	if b := r.output[id]; b != nil {
 		return b.String()
 	}
 	return ""
 }
 
+// unfinished returns the tests that did not finish. If their process ended, their output
+// shows why.
+func (r *results) unfinished() []testID {
+	var ids []testID
+	for id, outcome := range r.outcomes {
+		if id.name != "" && outcome == outcomeUnfinished {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b testID) int {
+		return cmp.Or(cmp.Compare(a.pkg, b.pkg), cmp.Compare(a.name, b.name))
+	})
+	return ids
+}
+
 // outcome returns how a test ended.
 func (r *results) outcome(id testID) string { return cmp.Or(r.outcomes[id], "not run") }
 
@@ -71,7 +93,7 @@
 		switch {
 		case id.name == "" && outcome == "fail" && !r.failsByListed(id.pkg, known):
 			red = append(red, id.pkg+" failed other than by a listed test")
-		case id.name != "" && outcome == "unfinished":
+		case id.name != "" && outcome == outcomeUnfinished:
 			red = append(red, fmt.Sprintf("%s %s did not finish", id.pkg, id.name))
 		case id.name != "" && outcome == "fail" && !r.covered(id, known):
 			red = append(red, fmt.Sprintf("%s %s failed", id.pkg, id.name))
@@ -92,10 +114,7 @@
 // covered reports whether a failed test is listed, or failed only because a listed
 // subtest did.
 func (r *results) covered(id testID, known map[testID]bool) bool {
-	text := ""
-	if b := r.output[id]; b != nil {
-		text = b.String()
-	}
+	text := r.outputOf(id)
 	if strings.Contains(text, "panic: ") || strings.Contains(text, "DATA RACE") {
 		return false
 	}
@@ -113,7 +132,7 @@
 // failsByListed reports whether a listed test of the package has failed and its output
 // shows no other failure.
 func (r *results) failsByListed(pkg string, known map[testID]bool) bool {
-	if b := r.output[testID{pkg: pkg}]; b != nil && (strings.Contains(b.String(), "panic: ") || strings.Contains(b.String(), "DATA RACE")) {
+	if text := r.outputOf(testID{pkg: pkg}); strings.Contains(text, "panic: ") || strings.Contains(text, "DATA RACE") {
 		return false
 	}
 	return r.anyFailed(func(id testID) bool { return id.pkg == pkg && known[id] })
