api: a request that is not complete at the end of a stop of serve is answered

Callers saw: a planned stop of serve closed the connection of a request whose body was not complete at the end of the grace, without an answer. Cause: only relay bounded the reading of bodies by the end of the stop. Change: the code for that moves to internal/body, and serve uses it. The answer is 503, not run, or 504 for a submission that its caller may have sent to another node before. Evidence: TestIncompleteRequestIsAnsweredAtTheEndOfAStop failed before (status 0 for a search, a first send and one sent again), and passes. The tests of stops of relay pass as before.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -15,6 +15,7 @@
 	"github.com/alexedwards/flow"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"geraniumstep.org/geraniumstep/internal/body"
 	"geraniumstep.org/geraniumstep/internal/node"
 	"geraniumstep.org/geraniumstep/internal/wire"
 )
@@ -79,11 +80,14 @@
 		return
 	}
 	req.Key = wire.ParseKey(r.Header)
-	req.FirstSend = r.Header.Get(wire.HeaderFirstSend) == "?1"
+	req.FirstSend = isFirstSend(r)
 	a, p := h.node.Submit(r.Context(), req)
 	reply(w, a, p)
 }
 
+// isFirstSend reports whether the caller sends its idempotency key for the first time.
+func isFirstSend(r *http.Request) bool { return r.Header.Get(wire.HeaderFirstSend) == "?1" }
+
 func reply(w http.ResponseWriter, a *wire.Answer, p *wire.Problem) {
 	if p != nil {
 		p.Write(w)
@@ -105,12 +109,12 @@
 		return req, invalid(http.StatusBadRequest, "timeout not accepted", err.Error())
 	}
 	req.Timeout = timeout
-	var body wire.RequestBody
-	if p := h.decode(w, r, &body); p != nil {
+	var content wire.RequestBody
+	if p := h.decode(w, r, &content); p != nil {
 		return req, p
 	}
-	req.Parameters = body.Parameters
-	req.Bytes = max(r.ContentLength, int64(len(body.Parameters)))
+	req.Parameters = content.Parameters
+	req.Bytes = max(r.ContentLength, int64(len(content.Parameters)))
 	return req, nil
 }
 
@@ -118,7 +122,12 @@
 // destination unchanged.
 func (h *handler) decode(w http.ResponseWriter, r *http.Request, dst any) *wire.Problem {
 	limit := h.node.Settings().Limits.BodyBytes
+	release := body.EndAtStop(h.node.Finish(), w, r)
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	release()
+	if body.IsEnded(err) {
+		return node.RejectInStop(wire.ParseKey(r.Header) != "" && !isFirstSend(r))
+	}
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return invalid(http.StatusRequestEntityTooLarge, "body too large", fmt.Sprintf("body is over %d bytes; shorten the parameters or raise limits.body_bytes", limit))
--- a/internal/api/stop_test.go
+++ b/internal/api/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -56,6 +57,32 @@
 	}
 }
 
+// A request whose body is not complete at the end of a planned stop must be answered; the connection
+// was closed without an answer.
+func TestIncompleteRequestIsAnsweredAtTheEndOfAStop(t *testing.T) {
+	f := newFixture(t)
+	f.configure()
+	const search, submission = "/v1/workspaces/folders/searches/seats", "/v1/workspaces/folders/submissions/hold"
+	const body = `{"parameters":{"seat":"A7","q":"x"}}`
+	tests := []struct {
+		name    string
+		request *slowRequest
+		want    int
+	}{
+		{"search", f.beginRequest(search, body, ""), http.StatusServiceUnavailable},
+		{"first send", f.beginRequest(submission, body, f.issueKey(), "Geraniumstep-First-Send: ?1"), http.StatusServiceUnavailable},
+		// Another node may have run it.
+		{"sent again", f.beginRequest(submission, body, f.issueKey()), http.StatusGatewayTimeout},
+	}
+	time.Sleep(100 * time.Millisecond) // for the node to begin to read
+	f.stop()
+	for _, tt := range tests {
+		if got := tt.request.read(); got != tt.want {
+			t.Errorf("%s: status = %d, want %d", tt.name, got, tt.want)
+		}
+	}
+}
+
 // slowRequest is a request whose last byte the caller holds back.
 type slowRequest struct {
 	conn net.Conn
@@ -63,7 +90,7 @@
 }
 
 // beginRequest sends a request but for its last byte.
-func (f *fixture) beginRequest(path, body, key string) *slowRequest {
+func (f *fixture) beginRequest(path, body, key string, headers ...string) *slowRequest {
 	f.t.Helper()
 	conn, err := net.Dial("tcp", f.node.Addr())
 	if err != nil {
@@ -71,10 +98,11 @@
 	}
 	f.t.Cleanup(func() { _ = conn.Close() })
 	if key != "" {
-		key = "Idempotency-Key: " + key + "\r\n"
+		headers = append(headers, "Idempotency-Key: "+key)
 	}
 	last := len(body) - 1
-	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: node\r\n%sContent-Length: %d\r\n\r\n%s", path, key, len(body), body[:last]); err != nil {
+	headers = append(headers, fmt.Sprintf("Content-Length: %d", len(body)))
+	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: node\r\n%s\r\n\r\n%s", path, strings.Join(headers, "\r\n"), body[:last]); err != nil {
 		f.t.Fatal(err)
 	}
 	return &slowRequest{conn: conn, last: body[last]}
@@ -84,6 +112,11 @@
 // ends without one.
 func (r *slowRequest) end() int {
 	_, _ = r.conn.Write([]byte{r.last})
+	return r.read()
+}
+
+// read returns the status of the complete response, or 0 if the connection ends without one.
+func (r *slowRequest) read() int {
 	res, err := http.ReadResponse(bufio.NewReader(r.conn), nil)
 	if err != nil {
 		return 0
--- a/internal/relay/http.go
+++ b/internal/relay/http.go
@@ -4,13 +4,13 @@
 	"errors"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"geraniumstep.org/geraniumstep/internal/body"
 	"geraniumstep.org/geraniumstep/internal/memory"
 	"geraniumstep.org/geraniumstep/internal/proto"
 )
@@ -25,8 +25,6 @@
 	// retries.
 	minRetryAfter = 50 * time.Millisecond
 	retrySpread   = 0.3
-	// maxBodyTime is longer than any stop lasts.
-	maxBodyTime = time.Hour
 )
 
 // Handler serves HTTP requests of callers.
@@ -69,8 +67,8 @@
 	if s := h.engine.Routes(); s != nil && s.Limits().MaxBodyBytes() > 0 {
 		limit = s.Limits().MaxBodyBytes()
 	}
-	release := h.endBodyInStop(w, r)
-	body, err := account.ReadAll(http.MaxBytesReader(w, r.Body, limit), limit)
+	release := body.EndAtStop(h.engine.finish, w, r)
+	data, err := account.ReadAll(http.MaxBytesReader(w, r.Body, limit), limit)
 	release()
 	if err != nil {
 		return nil, h.bodyError(err)
@@ -81,37 +79,10 @@
 	}
 	return &proto.Request{
 		ID: id, Caller: callerOf(r), Remaining: remaining, Method: r.Method, Host: r.Host, Target: r.RequestURI, Path: r.URL.EscapedPath(),
-		Header: r.Header, Body: body, Memory: account, Arrived: time.Now(),
+		Header: r.Header, Body: data, Memory: account, Arrived: time.Now(),
 	}, nil
 }
 
-// endBodyInStop ends the reading of the body at the end of a stop. The returned function must be
-// called when the body has been read.
-func (h *Handler) endBodyInStop(w http.ResponseWriter, r *http.Request) (release func()) {
-	if r.ContentLength == 0 {
-		return func() {}
-	}
-	read, stopped := make(chan struct{}), make(chan struct{})
-	control := http.NewResponseController(w)
-	go func() {
-		defer close(stopped)
-		select {
-		case <-read:
-			return
-		case <-h.engine.finish.Begun():
-		}
-		// An end that cannot be set leaves the request to the end of the process.
-		_ = control.SetReadDeadline(h.engine.finish.Clip(time.Now().Add(maxBodyTime)))
-		<-read
-		// Otherwise the request would count as abandoned at the end.
-		_ = control.SetReadDeadline(time.Time{})
-	}()
-	return func() {
-		close(read)
-		<-stopped
-	}
-}
-
 // callerOf returns the caller's IP address. The port differs between its connections.
 func callerOf(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
@@ -126,7 +97,7 @@
 		h.engine.metrics.exhausted.Inc()
 		return proto.Refused{Reason: err.Error(), RetryAfter: defaultRetryAfter}
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if body.IsEnded(err) {
 		return proto.Refused{Reason: "node is shutting down, and the body is not complete; send the request to another one"}
 	}
 	var tooLarge *http.MaxBytesError
