daemon: a batch for other nodes begins at the revision that it was made from

Callers could see: requests that reach a server which drains, or a configuration that is no longer in force, by way of a node that missed a change. Cause: Apply read the revision from which it publishes before it took the lock. A batch of another node that was merged in between was not part of what it published, but the range of revisions said so, so that a third node, which had not got that batch, took its own copy for complete. Change: the revision is read under the lock. Evidence: TestPublishedBatchSkipsNoChangeOfAnotherNode failed before (a server that drains is usable at the third node), and passes.

--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -81,8 +81,7 @@
 // Apply implements follow.Sink. It sends the changes that the batch makes to this
 // node's copy to the other nodes.
 func (s *state) Apply(t follow.Topic, b follow.Batch) {
-	from := s.views[t].LastChangeRevision()
-	changes, ok := s.apply(t, b)
+	changes, from, ok := s.apply(t, b)
 	if !ok || len(changes) == 0 {
 		return
 	}
@@ -91,33 +90,34 @@
 
 // Merge implements mesh.State.
 func (s *state) Merge(t follow.Topic, b follow.Batch) bool {
-	_, ok := s.apply(t, b)
+	_, _, ok := s.apply(t, b)
 	return ok
 }
 
-// apply applies a batch and returns the changes that it makes. It reports false when
-// changes before the batch are missing.
-func (s *state) apply(t follow.Topic, b follow.Batch) ([]follow.Change, bool) {
+// apply applies a batch. It returns the changes that it makes and the revision of the last
+// change before it. It reports false when changes before the batch are missing.
+func (s *state) apply(t follow.Topic, b follow.Batch) (changes []follow.Change, from uint64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	from = s.views[t].LastChangeRevision()
 	before, loaded := s.views[t].Position()
 	listed := loaded && b.Revision > before && (b.Full || isNewEra(before, b.Revision))
 	if listed {
 		b.Changes = s.keepLater(t, b.Changes)
 	}
-	changes, ok := s.views[t].Apply(b)
+	changes, ok = s.views[t].Apply(b)
 	if ok && loaded && isNewEra(before, b.Revision) {
 		s.noteEra(t, b.Revision)
 	}
 	if !ok || len(changes) == 0 {
-		return nil, ok
+		return nil, from, ok
 	}
 	if t == follow.Routes {
 		s.applyRoutes(changes, b.Revision)
 	} else if s.applyUpstreams(changes, listed) {
 		s.updateEngine(b.Revision)
 	}
-	return changes, true
+	return changes, from, true
 }
 
 // keepLater returns the changes of a list with the objects that this node has in place of those
--- a/internal/daemon/state_test.go
+++ b/internal/daemon/state_test.go
@@ -83,6 +83,38 @@
 	}
 }
 
+// A change that arrives from another node while a batch of the store is applied must not be missing at
+// a third node that has only what this one publishes.
+func TestPublishedBatchSkipsNoChangeOfAnotherNode(t *testing.T) {
+	s, third := newTextState(t), newTextState(t)
+	first := list(0, 5, "a ready 1", "b ready 1")
+	s.Apply(follow.Upstreams, first)
+	third.Apply(follow.Upstreams, first)
+	var published []follow.Batch
+	s.publish = func(_ follow.Topic, b follow.Batch) { published = append(published, b) }
+
+	s.mu.Lock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.Apply(follow.Upstreams, list(0, 7, "a draining 2", "b draining 2"))
+	}()
+	time.Sleep(20 * time.Millisecond) // until it waits for the lock
+	s.views[follow.Upstreams].Apply(follow.Batch{From: 5, Revision: 6, Changes: []follow.Change{{Name: "a", Raw: []byte("draining 2")}}})
+	s.mu.Unlock()
+	<-done
+
+	if len(published) != 1 {
+		t.Fatalf("published batches = %d, want 1", len(published))
+	}
+	if !third.Merge(follow.Upstreams, published[0]) {
+		third.Merge(follow.Upstreams, s.Since(follow.Upstreams, 5)) // as a node does that misses a change
+	}
+	if got, want := usable(third), ""; got != want {
+		t.Errorf("usable at the third node = %q, want %q", got, want)
+	}
+}
+
 // An object that cannot be decoded is logged when it changes, and not with each list.
 func TestOddObjectIsNotLoggedWithEachList(t *testing.T) {
 	log, hook := test.NewNullLogger()
