--- a/pkg/finish/finish.go
+++ b/pkg/finish/finish.go
@@ -1,6 +1,6 @@
 // Package finish decides what a process that shuts down still sends, so that each request is
 // answered before the process ends. A request that is not known to be answered by then is rejected
-// before it is sent to any upstream, and its caller can send it to another proces.
+// before it is sent to any upstream, and its caller can send it to another process.
 //
 // What a request needs is known from how long the answers to its kind have taken of late, at most.
 // A request whose deadline is before the end always fits.
