--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -20,7 +20,9 @@
 const maxTime = time.Hour
 
 // EndAtStop ends the reading of the body of a request when all requests must be answered. The
-// returned function must be called when the body has been read.
+// returned function must be called when the body has been read. The server must no longer keep
+// connections alive by then, as in http.Server.Shutdown: it would await the rest of the body before
+// it sends the response.
 func EndAtStop(stop *finish.Stop, w http.ResponseWriter, r *http.Request) (release func()) {
 	if r.ContentLength == 0 {
 		return func() {}
--- a/internal/body/body_test.go
+++ b/internal/body/body_test.go
@@ -45,6 +45,7 @@
 				t.Fatal(err)
 			}
 			<-reading
+			server.Config.SetKeepAlivesEnabled(false)
 			stop.Begin(time.Now().Add(50 * time.Millisecond))
 			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			if err != nil {
