daemon: log what a removal is kept for, and on which evidence

A late request after a removal could not be traced to its cause: no log showed that a node takes the store for unavailable, nor that it keeps a removed upstream. Now both are logged, with the age of the newest known reply and of the node's own.

--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -62,6 +62,10 @@
 
 	mu        sync.Mutex
 	directory *fleet.Directory
+	// unavailable is whether the directory was last told that the store is unavailable, and
+	// retained the number of removed upstreams that it kept.
+	unavailable bool
+	retained    int
 }
 
 func newState(e *relay.Engine, source follow.Source, log *logrus.Entry) *state {
@@ -214,9 +218,37 @@
 		}
 	}
 	s.logIgnored(ignored)
+	s.logRetained()
 	return changed
 }
 
+// logRetained logs the removed upstreams that the directory keeps when there are more of them
+// than before. mu must be held.
+func (s *state) logRetained() {
+	ids, until := s.directory.Retained()
+	if len(ids) > s.retained {
+		last := slices.MaxFunc(until, time.Time.Compare)
+		s.log.WithFields(logrus.Fields{
+			"retained": len(ids), "upstreams": strings.Join(ids[:min(len(ids), maxLoggedEntries)], ", "),
+			"longest": time.Until(last).Round(time.Millisecond).String(), "unavailable": s.unavailable,
+		}).Info("tier: removed upstreams are kept for now.")
+	}
+	s.retained = len(ids)
+}
+
+// logAvailability logs that the store is taken for unavailable or available again, with the
+// evidence. mu must be held.
+func (s *state) logAvailability(unavailable bool, evidence string) {
+	if unavailable == s.unavailable {
+		return
+	}
+	s.unavailable = unavailable
+	s.log.WithFields(logrus.Fields{
+		"unavailable": unavailable, "evidence": evidence, "newest_reply": s.bestStoreAge().Round(time.Millisecond).String(),
+		"own_reply": s.StoreAge().Round(time.Millisecond).String(), "own_calls_failing": s.StoreFailing().Round(time.Millisecond).String(),
+	}).Info("tier: availability of the store changed.")
+}
+
 // logIgnored logs the first of the entries that have no effect.
 func (s *state) logIgnored(entries []string) {
 	if len(entries) == 0 {
@@ -290,6 +322,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.logAvailability(true, "own calls failed")
 	s.directory.Step(fleet.Unavailable{})
 }
 
@@ -337,6 +370,7 @@
 	unavailable := s.bestStoreAge() > storeUnavailableAfter
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.logAvailability(unavailable, "age of the newest reply")
 	if unavailable {
 		s.directory.Step(fleet.Unavailable{})
 	} else {
@@ -345,6 +379,7 @@
 	if s.directory.Step(fleet.Tick{}) {
 		s.updateEngine(0)
 	}
+	s.logRetained()
 }
 
 // hasUpstreams reports whether the upstreams have been listed at least once.
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -124,7 +124,7 @@
 	}
 	reads := reader.Decide(m.self.VM, names, peers, now.Sub(m.readerSeen))
 	if m.readsStore.Swap(reads) != reads {
-		m.log.WithFields(logrus.Fields{"reads": reads, "members": len(names), "readers": len(peers)}).Info("mesh: store reader role changed.")
+		m.log.WithFields(logrus.Fields{"reads": reads, "members": len(names), "readers": len(peers), "newest_reply": m.BestStoreAge().Round(time.Millisecond).String()}).Info("mesh: store reader role changed.")
 	}
 }
 
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -300,6 +300,16 @@
 	return changed
 }
 
+// Retained returns the ids of the removed upstreams that are kept, sorted, with the time at
+// which each is dropped unless the registry stays unavailable.
+func (d *Directory) Retained() (ids []string, until []time.Time) {
+	ids = slices.Sorted(maps.Keys(d.missing))
+	for _, id := range ids {
+		until = append(until, d.missing[id])
+	}
+	return ids, until
+}
+
 // Wake returns when the next Tick is due; ok is false when none is.
 func (d *Directory) Wake() (at time.Time, ok bool) {
 	if d.unavailable {
