daemon: a reader cut off from the store is no sign that the store is away

Cause: a node took the store for away when the newest reply that its failure domain knew of was 2.6 s old, which is also the age at which the next reader takes over. So a takeover from a reader that has silently lost its connection always looked like an outage, and the removal that the new reader had from the store at once was kept for another 2.2 s (log: newest reply 2.775 s old, no other node's call failed, kept 2.2 s). Even without that, 1.5 s of watch, 0.4 s of pause after a change, the age limit of 2.6 s, 0.25 s for the reader that ranks first though it is known to fail, and 0.2 s until the follower notices that it reads add up to more than 3 s.

Change: - pkg/outage decides from replies of the store, to any node, whether it can have been away long enough for entries to expire: a pause of 2 s, two heartbeat intervals of the servers, or of 1.5 s while calls fail and no node has a reply. A reply that becomes known later and lies in the pause refutes the outage, and what was kept because of it is dropped at once (fleet.Uninterrupted). - Heartbeats of readers carry the replies that they know of. A reader in doubt asks nodes of other failure domains, each 0.5 s, and pulls what they have newer if its own domain has no reply. In steady state nobody asks. - A node that has never called the store no longer reports its start as a reply. - A takeover begins when the last reply is 1.4 s old, in place of 2.6 s, since a watch waits for 1 s at most, the pause before it included, and is reported at once. Readers that are known to fail are not waited for. - An entry that is missing after an outage is kept until 2.2 s after the outage's end, and no longer from when a node has read its removal.

Why it works: the domain's new reader is answered within 1.4 s + 0.1 s (tick) + 0.05 s (follower) + one call after the old one's last reply, and within 0.25 s more if the next node is cut off too. That is less than 2 s, so no removal is kept; beyond it other domains' replies decide.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -145,7 +145,7 @@
 	d.mesh = mesh.New(self, l, packets, d.state, link.Dial,
 		mesh.WithSeeds(d.settings.Peers), mesh.WithFirstStart(d.settings.FirstStart), mesh.WithLog(d.log), mesh.WithChanged(d.membersChanged),
 		mesh.WithService(relay.GatherService, d.engine.Gatherer()), mesh.WithEvidence(crashEvidence{Tracker: d.crashes, engine: d.engine}), mesh.WithLimits(d.engine.LearnLimit), mesh.WithLeaving(d.engine.LearnLeaving))
-	d.state.publish, d.state.bestStoreAge, d.state.restored = d.mesh.Publish, d.mesh.BestStoreAge, d.storeRestored
+	d.state.publish, d.state.restored = d.mesh.Publish, d.storeRestored
 	return nil
 }
 
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -22,16 +22,6 @@
 	// recheckInterval is how often the directory rechecks removed entries that
 	// it retains.
 	recheckInterval = 200 * time.Millisecond
-	// storeUnavailableAfter is the age of the newest reply from the store beyond
-	// which the directory retains removed entries. It is longer than a watch
-	// may take, and shorter than the time after which the store removes an
-	// upstream without heartbeats.
-	storeUnavailableAfter = 2600 * time.Millisecond
-	// outageThreshold is how long calls to the store must have failed before the
-	// directory retains removed entries. The store removes an upstream that has
-	// sent no heartbeat for three intervals of at least 1 s each, so an outage of
-	// less than two intervals removes nothing.
-	outageThreshold = 1500 * time.Millisecond
 	// maxLoggedEntries bounds the entries that one line of the log names.
 	maxLoggedEntries = 8
 )
@@ -52,20 +42,19 @@
 	// failingSince is when the current series of failed calls began, by topic,
 	// or nil while the store answers.
 	failingSince [len(topics)]atomic.Pointer[time.Time]
-	// publish sends changes to the other nodes, and bestStoreAge returns the age
-	// of the newest reply from the store that this node, or a reader whose
-	// updates it receives, has obtained.
-	publish      func(t follow.Topic, b follow.Batch)
-	bestStoreAge func() time.Duration
+	// replies records the replies of the store to this node and to others.
+	replies storeReplies
+	// publish sends changes to the other nodes.
+	publish func(t follow.Topic, b follow.Batch)
 	// restored is called when the store has been restored from an older copy.
 	restored func()
 
 	mu        sync.Mutex
 	directory *fleet.Directory
-	// unavailable is whether the directory was last told that the store is unavailable, and
-	// retained the number of removed upstreams that it kept.
-	unavailable bool
-	retained    int
+	// availability is what the directory was last told of the store, and retained the number
+	// of removed upstreams that it kept.
+	availability availability
+	retained     int
 }
 
 func newState(e *relay.Engine, source follow.Source, log *logrus.Entry) *state {
@@ -75,7 +64,6 @@
 	}
 	s.publish = func(follow.Topic, follow.Batch) {}
 	s.restored = func() {}
-	s.bestStoreAge = s.StoreAge
 	return s
 }
 
@@ -199,6 +187,7 @@
 // applyUpstreams passes changes to the directory and reports whether the entries
 // have changed. Listed is whether the changes come from a list of the store. mu must be held.
 func (s *state) applyUpstreams(changes []follow.Change, listed bool) bool {
+	s.updateAvailability()
 	changed := false
 	var ignored []string
 	for _, c := range changes {
@@ -222,33 +211,6 @@
 	return changed
 }
 
-// logRetained logs the removed upstreams that the directory keeps when there are more of them
-// than before. mu must be held.
-func (s *state) logRetained() {
-	ids, until := s.directory.Retained()
-	if len(ids) > s.retained {
-		last := slices.MaxFunc(until, time.Time.Compare)
-		s.log.WithFields(logrus.Fields{
-			"retained": len(ids), "upstreams": strings.Join(ids[:min(len(ids), maxLoggedEntries)], ", "),
-			"longest": time.Until(last).Round(time.Millisecond).String(), "unavailable": s.unavailable,
-		}).Info("tier: removed upstreams are kept for now.")
-	}
-	s.retained = len(ids)
-}
-
-// logAvailability logs that the store is taken for unavailable or available again, with the
-// evidence. mu must be held.
-func (s *state) logAvailability(unavailable bool, evidence string) {
-	if unavailable == s.unavailable {
-		return
-	}
-	s.unavailable = unavailable
-	s.log.WithFields(logrus.Fields{
-		"unavailable": unavailable, "evidence": evidence, "newest_reply": s.bestStoreAge().Round(time.Millisecond).String(),
-		"own_reply": s.StoreAge().Round(time.Millisecond).String(), "own_calls_failing": s.StoreFailing().Round(time.Millisecond).String(),
-	}).Info("tier: availability of the store changed.")
-}
-
 // logIgnored logs the first of the entries that have no effect.
 func (s *state) logIgnored(entries []string) {
 	if len(entries) == 0 {
@@ -292,64 +254,6 @@
 	return mesh.Revisions{Routes: s.views[follow.Routes].LastChangeRevision(), Upstreams: s.views[follow.Upstreams].LastChangeRevision()}
 }
 
-// Answered implements follow.Sink.
-func (s *state) Answered(t follow.Topic) {
-	now := time.Now()
-	if since := s.failingSince[t].Swap(nil); since != nil && t == follow.Upstreams && now.Sub(*since) >= outageThreshold {
-		s.markStoreUnavailable()
-	}
-	s.lastAnswer[t].Store(&now)
-}
-
-// Failed implements follow.Sink.
-func (s *state) Failed(t follow.Topic, _ error) {
-	now := time.Now()
-	s.failingSince[t].CompareAndSwap(nil, &now)
-	if t == follow.Upstreams && s.StoreFailing() >= outageThreshold {
-		s.markStoreUnavailable()
-	}
-}
-
-// Paused implements follow.Sink. It clears the failure, because failures before a
-// pause do not show whether the store was available during it.
-func (s *state) Paused(t follow.Topic) { s.failingSince[t].Store(nil) }
-
-// markStoreUnavailable makes the directory retain removed entries, unless another
-// node has newer replies from the store.
-func (s *state) markStoreUnavailable() {
-	if s.bestStoreAge() < s.StoreAge() {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.logAvailability(true, "own calls failed")
-	s.directory.Step(fleet.Unavailable{})
-}
-
-// StoreFailing implements mesh.State.
-func (s *state) StoreFailing() time.Duration {
-	longest := time.Duration(0)
-	for t := range s.failingSince {
-		if since := s.failingSince[t].Load(); since != nil {
-			longest = max(longest, time.Since(*since))
-		}
-	}
-	return longest
-}
-
-// StoreAge implements mesh.State.
-func (s *state) StoreAge() time.Duration {
-	oldest := time.Duration(0)
-	for t := range s.lastAnswer {
-		at := s.started
-		if answered := s.lastAnswer[t].Load(); answered != nil {
-			at = *answered
-		}
-		oldest = max(oldest, time.Since(at))
-	}
-	return oldest
-}
-
 // run calls checkStore at intervals until the context is done.
 func (s *state) run(ctx context.Context) error {
 	ticker := time.NewTicker(recheckInterval)
@@ -364,24 +268,6 @@
 	}
 }
 
-// checkStore reports the availability of the store to the directory and drops the
-// retained entries whose time has passed.
-func (s *state) checkStore() {
-	unavailable := s.bestStoreAge() > storeUnavailableAfter
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.logAvailability(unavailable, "age of the newest reply")
-	if unavailable {
-		s.directory.Step(fleet.Unavailable{})
-	} else {
-		s.directory.Step(fleet.Available{})
-	}
-	if s.directory.Step(fleet.Tick{}) {
-		s.updateEngine(0)
-	}
-	s.logRetained()
-}
-
 // hasUpstreams reports whether the upstreams have been listed at least once.
 func (s *state) hasUpstreams() bool {
 	_, loaded := s.views[follow.Upstreams].Position()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -124,11 +124,12 @@
 const (
 	// listTimeout bounds a list; the store answers in milliseconds.
 	listTimeout = 1500 * time.Millisecond
-	// watchWait is how long a watch waits at the store. It is short, because
-	// after the store has discarded its history pending watches receive no
-	// changes and only a new call shows that, while a change must be in force
+	// watchWait is how long a watch waits at the store, less the pause before it. It
+	// is short, because after the store has discarded its history pending watches
+	// receive no changes, and a node that has lost its connection to the store gets
+	// none either. Only a missing reply shows that, while a change must be in force
 	// within 3 s.
-	watchWait = 1500 * time.Millisecond
+	watchWait = time.Second
 	// watchSlack is how much longer than requested a watch may take.
 	watchSlack = 700 * time.Millisecond
 	// minBackoff and maxBackoff bound the delay between attempts while calls
@@ -137,7 +138,7 @@
 	maxBackoff = time.Second
 	// idlePollInterval is how often an inactive follower checks whether it has
 	// become active.
-	idlePollInterval = 200 * time.Millisecond
+	idlePollInterval = 50 * time.Millisecond
 	// defaultBatchDelay lets changes that are made shortly after each other be
 	// read with one call. It is a small part of the seconds within which a change
 	// must be in force.
@@ -158,6 +159,8 @@
 	// idle is set while the follower is inactive and until the first successful
 	// call after that.
 	idle bool
+	// paused is the pause before the next call after one that succeeded.
+	paused time.Duration
 }
 
 // Option configures a Follower at construction.
@@ -226,10 +229,11 @@
 	f.handleSuccess(revision)
 	f.relist = false
 	f.sink.Apply(f.topic, batch)
+	f.paused = 0
 	if len(batch.Changes) > 0 {
-		return f.batchDelay
+		f.paused = min(f.batchDelay, watchWait)
 	}
-	return 0
+	return f.paused
 }
 
 // read watches from the revision, or lists the topic if it is not loaded.
@@ -239,7 +243,7 @@
 		defer cancel()
 		return f.source.List(ctx, f.topic)
 	}
-	wait := watchWait
+	wait := watchWait - f.paused
 	if f.failing || f.idle {
 		// A call while the store fails or after an idle period returns at once,
 		// which shows without delay whether the store answers.
@@ -253,6 +257,7 @@
 // handleFailure reports a failed call and returns the backoff with jitter.
 func (f *Follower) handleFailure(err error, revision uint64) time.Duration {
 	f.failures++
+	f.paused = 0
 	if !f.failing {
 		f.failing = true
 		f.log.WithFields(logrus.Fields{"topic": f.topic.String(), "revision": ownRevision(revision), "error": err.Error()}).
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -161,6 +161,30 @@
 	})
 }
 
+// Other nodes take a reader's silence for a lost connection to the store. The pause after a change must
+// not make it longer.
+func TestRepliesAreNoMoreThanAWatchApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		source := &fakeSource{list: func() (Batch, error) { return Batch{Full: true, Revision: 1}, nil }}
+		last, longest := start, time.Duration(0)
+		source.watch = func(ctx context.Context, revision uint64, wait time.Duration) (Batch, error) {
+			defer func() { longest, last = max(longest, time.Since(last)), time.Now() }()
+			if revision%2 == 0 {
+				return idleWatch(ctx, revision+1, wait)
+			}
+			time.Sleep(wait / 2)
+			return Batch{Changes: []Change{{Name: "x", Deleted: true}}, From: revision, Revision: revision + 1}, nil
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		_ = newFollower(source, newSink()).Run(ctx)
+		if got, limit := longest, watchWait; got > limit {
+			t.Errorf("longest time between replies = %v, want at most %v", got, limit)
+		}
+	})
+}
+
 // A follower that becomes active must show at once that the store answers, or the
 // next node would take over as reader too.
 func TestFirstWatchAfterIdleReturnsAtOnce(t *testing.T) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -92,11 +92,16 @@
 	// readerSeen is when a heartbeat of an up-to-date reader was last
 	// available. Only Run uses it.
 	readerSeen time.Time
-	// lastHeartbeat is when the last heartbeat was sent, and reportedFailing
-	// whether it reported the store as failing. Only Run uses them.
+	// lastHeartbeat is when the last heartbeat was sent, reportedFailing whether it
+	// reported the store as failing, and reportedReply the reply of the store that it
+	// reported. Only Run uses them.
 	lastHeartbeat   time.Time
 	reportedFailing bool
-	started         time.Time
+	reportedReply   time.Time
+	// lastAsk is when other failure domains were last asked for replies of the store.
+	// Only Run uses it.
+	lastAsk time.Time
+	started time.Time
 	// lastExchange is when crash reports were last exchanged. Only Run uses it.
 	lastExchange time.Time
 	pulling      [2]atomic.Bool
@@ -190,6 +195,7 @@
 		}
 		m.updateReader()
 		m.heartbeatIfDue(now)
+		m.askIfDue(now)
 		m.exchangeIfDue(now)
 		select {
 		case <-ctx.Done():
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -14,6 +14,7 @@
 
 	"geraniumstep.org/geraniumstep/internal/follow"
 	"geraniumstep.org/geraniumstep/pkg/member"
+	"geraniumstep.org/geraniumstep/pkg/outage"
 )
 
 // fakeState implements State with one view per topic.
@@ -38,6 +39,9 @@
 
 func (s *fakeState) StoreAge() time.Duration     { return 0 }
 func (s *fakeState) StoreFailing() time.Duration { return 0 }
+func (s *fakeState) StoreReplies() outage.Span   { return outage.Span{} }
+func (s *fakeState) AddStoreReplies(outage.Span) {}
+func (s *fakeState) StoreInDoubt() bool          { return false }
 
 // newMesh returns a node of the domain that listens on a free loopback port.
 func newMesh(t testing.TB, vm, domain string, state State, seeds ...string) *Mesh {
--- a/internal/mesh/serve.go
+++ b/internal/mesh/serve.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"time"
 
 	"geraniumstep.org/geraniumstep/internal/peer"
 	"geraniumstep.org/geraniumstep/pkg/member"
@@ -58,3 +59,10 @@
 	reply.Batch = &b
 	return nil
 }
+
+// Replies returns the replies of the store that this node knows of.
+func (s *methods) Replies(_ *Empty, reply *RepliesReply) error {
+	reply.Replies = *newReplies(s.mesh.state.StoreReplies(), time.Now())
+	reply.Have = s.mesh.state.Revisions()
+	return nil
+}
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -9,6 +9,7 @@
 
 	"geraniumstep.org/geraniumstep/internal/follow"
 	"geraniumstep.org/geraniumstep/pkg/member"
+	"geraniumstep.org/geraniumstep/pkg/outage"
 	"geraniumstep.org/geraniumstep/pkg/reader"
 )
 
@@ -28,12 +29,22 @@
 	// StoreFailing returns how long this node's calls to the store have been
 	// failing, or 0 if the last call succeeded.
 	StoreFailing() time.Duration
+	// StoreReplies returns the last period, without an outage, of the replies of the store
+	// that this node knows of, those to other nodes included.
+	StoreReplies() outage.Span
+	// AddStoreReplies adds replies of the store that another node knows of.
+	AddStoreReplies(s outage.Span)
+	// StoreInDoubt reports whether the known replies leave open that the store is, or was a
+	// moment ago, unavailable.
+	StoreInDoubt() bool
 }
 
 // receivedHeartbeat is a heartbeat and the time of its arrival.
 type receivedHeartbeat struct {
 	heartbeat heartbeat
 	at        time.Time
+	// began is the arrival of the first heartbeat since the sender last paused.
+	began time.Time
 	// local holds this node's revisions, unchanged since the time since.
 	local Revisions
 	since time.Time
@@ -52,12 +63,18 @@
 func (m *Mesh) receiveHeartbeat(b heartbeat) {
 	local, now := m.state.Revisions(), time.Now()
 	m.mu.Lock()
-	h := receivedHeartbeat{heartbeat: b, at: now, local: local, since: now}
-	if old, known := m.heartbeats[b.VM]; known && old.stuckFor(local, now) > 0 {
-		h.since = old.since
+	h := receivedHeartbeat{heartbeat: b, at: now, began: now, local: local, since: now}
+	if old, known := m.heartbeats[b.VM]; known {
+		if old.stuckFor(local, now) > 0 {
+			h.since = old.since
+		}
+		if now.Sub(old.at) < reader.HeartbeatTimeout {
+			h.began = old.began
+		}
 	}
 	m.heartbeats[b.VM] = h
 	m.mu.Unlock()
+	m.state.AddStoreReplies(b.replies(now))
 	m.pullNewer(b.Addr, b.Have)
 }
 
@@ -142,6 +159,7 @@
 		}
 		list = append(list, reader.Peer{
 			Name: name, HeartbeatAge: now.Sub(b.at), StoreAge: b.heartbeat.StoreAge, Failing: b.heartbeat.StoreFailing, Stuck: b.stuckFor(local, now),
+			Reading: now.Sub(b.began),
 		})
 	}
 	return list
@@ -160,14 +178,16 @@
 	return best
 }
 
-// heartbeatIfDue sends heartbeats at intervals while this node reads the store,
-// and at once when the store begins to fail or answers again.
+// heartbeatIfDue sends heartbeats at intervals while this node reads the store, and at
+// once when the store has answered, or begins to fail.
 func (m *Mesh) heartbeatIfDue(now time.Time) {
 	failing := m.state.StoreFailing() >= reader.FailingTimeout
-	if !m.ReadsStore() || (now.Sub(m.lastHeartbeat) < reader.HeartbeatInterval && failing == m.reportedFailing) {
+	reply := now.Add(-m.state.StoreAge())
+	answered := reply.Sub(m.reportedReply) >= tickInterval
+	if !m.ReadsStore() || (now.Sub(m.lastHeartbeat) < reader.HeartbeatInterval && failing == m.reportedFailing && !answered) {
 		return
 	}
-	m.lastHeartbeat, m.reportedFailing = now, failing
+	m.lastHeartbeat, m.reportedFailing, m.reportedReply = now, failing, reply
 	m.sendHeartbeats()
 }
 
@@ -176,6 +196,7 @@
 	b := heartbeat{
 		VM: m.self.VM, Addr: m.self.Addr, Have: m.state.Revisions(),
 		StoreAge: m.state.StoreAge(), StoreFailing: m.state.StoreFailing(),
+		Replies: newReplies(m.state.StoreReplies(), time.Now()),
 	}
 	for _, r := range m.domainMembers() {
 		m.send(r.Gossip, datagram{Heartbeat: &b})
--- a/internal/mesh/types.go
+++ b/internal/mesh/types.go
@@ -12,6 +12,7 @@
 
 	"geraniumstep.org/geraniumstep/internal/follow"
 	"geraniumstep.org/geraniumstep/pkg/member"
+	"geraniumstep.org/geraniumstep/pkg/outage"
 )
 
 // service is the name under which the methods are registered with net/rpc.
@@ -19,9 +20,10 @@
 
 // Names of the methods that nodes call.
 const (
-	methodViews = service + ".Views"
-	methodPush  = service + ".Push"
-	methodPull  = service + ".Pull"
+	methodViews   = service + ".Views"
+	methodPush    = service + ".Push"
+	methodPull    = service + ".Pull"
+	methodReplies = service + ".Replies"
 )
 
 // Revisions holds, for each topic, the store revision of a node's copy.
@@ -63,6 +65,40 @@
 	StoreAge time.Duration `msgpack:"s"`
 	// StoreFailing is how long the sender's calls to the store have been failing.
 	StoreFailing time.Duration `msgpack:"f,omitempty"`
+	// Replies holds the replies of the store that the sender knows of, those to other nodes
+	// included. Older builds do not send it.
+	Replies *replies `msgpack:"k,omitempty"`
+}
+
+// replies returns the replies of the store that the heartbeat, which arrived now, reports.
+func (h heartbeat) replies(now time.Time) outage.Span {
+	if h.Replies == nil {
+		return outage.At(now.Add(-h.StoreAge))
+	}
+	return h.Replies.span(now)
+}
+
+// replies is an outage.Span as the ages of its first and last reply when it was sent. Known is
+// false if the sender knows of no reply.
+type replies struct {
+	Known bool          `msgpack:"k"`
+	First time.Duration `msgpack:"f"`
+	Last  time.Duration `msgpack:"l"`
+}
+
+func newReplies(s outage.Span, now time.Time) *replies {
+	if s.IsZero() {
+		return &replies{}
+	}
+	return &replies{Known: true, First: now.Sub(s.First()), Last: now.Sub(s.Last())}
+}
+
+// span returns the span of replies that have arrived now.
+func (r replies) span(now time.Time) outage.Span {
+	if !r.Known {
+		return outage.Span{}
+	}
+	return outage.Between(now.Add(-max(r.First, r.Last, 0)), now.Add(-max(r.Last, 0)))
 }
 
 // datagram is one UDP message: a membership message, a heartbeat, crash reports, news of a
@@ -98,6 +134,13 @@
 	Batch *follow.Batch `msgpack:"b"`
 }
 
+// RepliesReply carries the replies of the store that the called node knows of, and its
+// revisions.
+type RepliesReply struct {
+	Replies replies   `msgpack:"k"`
+	Have    Revisions `msgpack:"h"`
+}
+
 // Empty is the reply of a call that returns nothing.
 type Empty struct {
 	_ struct{}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -16,8 +16,8 @@
 	"time"
 )
 
-// Event is an input of Step: Updated, Removed, Listed, Unavailable, Available, Restored or
-// Tick.
+// Event is an input of Step: Updated, Removed, Listed, Unavailable, Available, Uninterrupted,
+// Restored or Tick.
 type Event interface{ event() }
 
 // Updated delivers an entry that is new or changed. Listed is set if it comes from a list and
@@ -37,8 +37,14 @@
 // Unavailable reports that the registry cannot be reached.
 type Unavailable struct{}
 
-// Available reports that the registry can be reached again.
-type Available struct{}
+// Available reports that the registry can be reached again, since the time Since or, if that is
+// zero, since now.
+type Available struct{ Since time.Time }
+
+// Uninterrupted reports that the registry can be reached, and that what was reported as
+// Unavailable was no outage of it, or that there was none. Entries that are kept because of it
+// are dropped at the next Tick.
+type Uninterrupted struct{}
 
 // Restored reports that the registry was restored from an older copy. What was written since
 // then is written again, as after an outage.
@@ -47,19 +53,20 @@
 // Tick reports that the time returned by Wake has passed.
 type Tick struct{}
 
-func (Updated) event()     {}
-func (Removed) event()     {}
-func (Listed) event()      {}
-func (Unavailable) event() {}
-func (Available) event()   {}
-func (Restored) event()    {}
-func (Tick) event()        {}
+func (Updated) event()       {}
+func (Removed) event()       {}
+func (Listed) event()        {}
+func (Unavailable) event()   {}
+func (Available) event()     {}
+func (Uninterrupted) event() {}
+func (Restored) event()      {}
+func (Tick) event()          {}
 
 const (
-	// settleTime is how long a missing entry is kept after an outage of the
+	// SettleTime is how long a missing entry is kept after an outage of the
 	// registry. The registry guarantees that the upstreams that are alive are
 	// listed again within about 2 s.
-	settleTime = 2200 * time.Millisecond
+	SettleTime = 2200 * time.Millisecond
 	// holdTime is how long an entry of a removed upstream is held back. A registry that was
 	// restored removes an upstream without heartbeats after three intervals of at most
 	// 1.2 s, and its writers remove again what they had removed within about 2 s.
@@ -81,8 +88,10 @@
 	entries     map[string]Entry
 	missing     map[string]time.Time // when a retained entry is dropped
 	unavailable bool
-	outageEnd   time.Time // end of the last outage, observed or detected by a mass removal
-	removals    []removal
+	// reportedEnd is the end of the last outage that was reported as Unavailable, and outageEnd
+	// that of the last one that a restore or a mass removal has shown.
+	reportedEnd, outageEnd time.Time
+	removals               []removal
 	// removed holds the last entry of each upstream that the registry has removed, so
 	// that an older copy does not bring it back.
 	removed map[string]Entry
@@ -128,11 +137,14 @@
 		d.unavailable = true
 		return false
 	case Available:
-		d.handleAvailable(now)
+		d.handleAvailable(ev.Since, now)
+		return false
+	case Uninterrupted:
+		d.unavailable, d.reportedEnd = false, time.Time{}
+		d.settle()
 		return false
 	case Restored:
-		d.unavailable = true
-		d.handleAvailable(now)
+		d.handleRestored(now)
 		return false
 	case Tick:
 		return d.expire(now)
@@ -197,8 +209,8 @@
 	if !known {
 		return false
 	}
-	if d.unavailable || now.Sub(d.outageEnd) < settleTime {
-		d.retain(id, now)
+	if d.unavailable || now.Before(d.settled()) {
+		d.retain(id)
 		return false
 	}
 	d.drop(id)
@@ -206,10 +218,22 @@
 	return true
 }
 
+// settled returns the time at which the registry lists again each upstream that is alive.
+func (d *Directory) settled() time.Time {
+	end := d.outageEnd
+	if d.reportedEnd.After(end) {
+		end = d.reportedEnd
+	}
+	return end.Add(SettleTime)
+}
+
 // retain keeps a missing entry until the registry has had time to settle.
-func (d *Directory) retain(id string, now time.Time) {
-	if _, retained := d.missing[id]; !retained {
-		d.missing[id] = now.Add(settleTime)
+func (d *Directory) retain(id string) { d.missing[id] = d.settled() }
+
+// settle sets anew until when the missing entries are kept.
+func (d *Directory) settle() {
+	for id := range d.missing {
+		d.retain(id)
 	}
 }
 
@@ -228,15 +252,15 @@
 	if len(d.removals) < minMassRemoval || float64(len(d.removals)) < massRemovalShare*float64(total) {
 		return
 	}
+	d.outageEnd = now
 	for _, r := range d.removals {
 		if _, present := d.entries[r.entry.id]; !present && !r.entry.draining {
 			d.entries[r.entry.id] = r.entry
 			delete(d.removed, r.entry.id)
-			d.retain(r.entry.id, now)
+			d.retain(r.entry.id)
 		}
 	}
 	d.removals = nil
-	d.outageEnd = now
 }
 
 func (d *Directory) handleListed(entries []Entry, now time.Time) bool {
@@ -264,15 +288,33 @@
 }
 
 // handleAvailable starts the time in which missing entries may be listed again.
-func (d *Directory) handleAvailable(now time.Time) {
-	if !d.unavailable {
+func (d *Directory) handleAvailable(since, now time.Time) {
+	if since.IsZero() {
+		if !d.unavailable {
+			return
+		}
+		since = now
+	}
+	if !d.unavailable && since.Equal(d.reportedEnd) {
 		return
 	}
-	d.unavailable = false
-	d.outageEnd = now
-	for id := range d.missing {
-		d.missing[id] = now.Add(settleTime)
+	later := since.After(d.reportedEnd)
+	d.unavailable, d.reportedEnd = false, since
+	d.settle()
+	if later {
+		d.hold(now)
 	}
+}
+
+// handleRestored starts the time in which what the older copy lacks may be written again.
+func (d *Directory) handleRestored(now time.Time) {
+	d.unavailable, d.outageEnd = false, now
+	d.settle()
+	d.hold(now)
+}
+
+// hold holds back anew the entries that are held back.
+func (d *Directory) hold(now time.Time) {
 	for id, h := range d.held {
 		d.held[id] = heldEntry{entry: h.entry, until: now.Add(holdTime)}
 	}
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -69,10 +69,91 @@
 		if got, want := len(d.Entries()), 4; got != want {
 			t.Errorf("entries right after the outage = %d, want %d", got, want)
 		}
-		time.Sleep(settleTime)
+		time.Sleep(SettleTime)
 		d.Step(Tick{})
 		if got, want := len(d.Entries()), 3; got != want {
-			t.Errorf("entries %v after the outage = %d, want %d", settleTime, got, want)
+			t.Errorf("entries %v after the outage = %d, want %d", SettleTime, got, want)
+		}
+	})
+}
+
+// A removal that was kept because the registry seemed to be away must be in force as soon as it is known
+// that it was not.
+func TestRemovalIsInForceOnceTheOutageIsRefuted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New()
+		fill(d, 10)
+		d.Step(Unavailable{})
+		d.Step(Removed{ID: "up-3"})
+		if got, want := len(d.Entries()), 10; got != want {
+			t.Fatalf("entries in the outage = %d, want %d", got, want)
+		}
+		d.Step(Uninterrupted{})
+		if !d.Step(Tick{}) {
+			t.Error("Step(Tick) after the outage is refuted = false, want a change")
+		}
+		d.Step(Removed{ID: "up-4"})
+		if got, want := len(d.Entries()), 8; got != want {
+			t.Errorf("entries after the outage is refuted = %d, want %d", got, want)
+		}
+	})
+}
+
+// The known replies of a registry do not show what a restore or a mass removal has shown.
+func TestRefutedOutageDropsNothingOfARestoreOrMassRemoval(t *testing.T) {
+	for name, lose := range map[string]func(d *Directory, list []Entry){
+		"restore": func(d *Directory, list []Entry) {
+			d.Step(Restored{})
+			d.Step(Listed{Entries: list[5:]})
+		},
+		"mass removal": func(d *Directory, list []Entry) {
+			for _, e := range list[:5] {
+				d.Step(Removed{ID: e.ID()})
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := New()
+				lose(d, fill(d, 10))
+				d.Step(Uninterrupted{})
+				time.Sleep(SettleTime - 1)
+				d.Step(Tick{})
+				if got, want := len(d.Entries()), 10; got != want {
+					t.Errorf("entries before the settle time = %d, want %d", got, want)
+				}
+				time.Sleep(time.Nanosecond)
+				d.Step(Tick{})
+				if got, want := len(d.Entries()), 5; got != want {
+					t.Errorf("entries after the settle time = %d, want %d", got, want)
+				}
+			})
+		})
+	}
+}
+
+// The time in which a missing entry may be listed again begins with the end of the outage, and not
+// when a node has noticed that or has read the removal.
+func TestEntryIsKeptNoLongerThanTheSettleTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New()
+		fill(d, 10)
+		d.Step(Unavailable{})
+		d.Step(Removed{ID: "up-3"})
+		time.Sleep(time.Second)
+		end := time.Now()
+		time.Sleep(time.Second)
+		d.Step(Available{Since: end})
+		d.Step(Removed{ID: "up-4"})
+		time.Sleep(time.Until(end.Add(SettleTime)) - 1)
+		d.Step(Tick{})
+		if got, want := len(d.Entries()), 10; got != want {
+			t.Errorf("entries before the settle time = %d, want %d", got, want)
+		}
+		time.Sleep(time.Nanosecond)
+		d.Step(Tick{})
+		if got, want := len(d.Entries()), 8; got != want {
+			t.Errorf("entries after the settle time = %d, want %d", got, want)
 		}
 	})
 }
@@ -126,7 +207,7 @@
 		if !d.Step(Updated{Entry: entry("removed")}) {
 			t.Error("an entry that its upstream has written again is ignored")
 		}
-		time.Sleep(settleTime)
+		time.Sleep(SettleTime)
 		d.Step(Tick{})
 		for _, e := range d.Entries() {
 			if e.ID() == "new" {
@@ -181,7 +262,7 @@
 			d.Step(Removed{ID: "up"}) // the copy lacks it
 			d.Step(Restored{})        // the next copy holds it
 			d.Step(Updated{Entry: listed, Listed: true})
-			time.Sleep(2 * settleTime)
+			time.Sleep(2 * SettleTime)
 			d.Step(Tick{})
 			if got := d.Entries(); len(got) != 1 || got[0] != known {
 				t.Errorf("%s: entries = %+v, want only %+v", name, got, known)
--- a/pkg/reader/reader.go
+++ b/pkg/reader/reader.go
@@ -15,15 +15,15 @@
 )
 
 const (
-	// heartbeatTimeout is the age of a reader's last heartbeat at which the
+	// HeartbeatTimeout is the age of a reader's last heartbeat at which the
 	// next node takes over. Readers send one every HeartbeatInterval.
-	heartbeatTimeout = 1200 * time.Millisecond
+	HeartbeatTimeout = 1200 * time.Millisecond
 	// HeartbeatInterval is how often a reader sends its revisions to the others.
 	HeartbeatInterval = 400 * time.Millisecond
-	// maxStoreAge is the age of a reader's last answer from the store at which
-	// the next node takes over. A watch is answered more often than that, even
-	// when nothing changes.
-	maxStoreAge = 2600 * time.Millisecond
+	// MaxStoreAge is the age of a reader's last answer from the store at which
+	// the next node takes over. A watch is answered each second, even when nothing
+	// changes; the rest is for a slow store and for the heartbeat that reports it.
+	MaxStoreAge = 1400 * time.Millisecond
 	// FailingTimeout is how long a reader's calls to the store may fail before
 	// the next node takes over. It covers several calls, so that one lost answer
 	// does not cause a takeover.
@@ -48,17 +48,28 @@
 	// Stuck is how long the peer has reported newer revisions than this node
 	// has, without this node receiving any of them.
 	Stuck time.Duration
+	// Reading is the time since its first heartbeat in the current series.
+	Reading time.Duration
 }
 
 // fresh reports whether the peer's heartbeats arrive, the store answers it, and its
 // updates arrive at this node.
 func (p Peer) fresh() bool {
-	return p.HeartbeatAge < heartbeatTimeout && p.HeartbeatAge+p.StoreAge < maxStoreAge && p.Failing < FailingTimeout && p.Stuck < stuckTimeout
+	return p.HeartbeatAge < HeartbeatTimeout && p.HeartbeatAge+p.StoreAge < MaxStoreAge && p.Failing < FailingTimeout && p.Stuck < stuckTimeout
+}
+
+// failed reports whether the peer has read the store until now or a moment ago, and has had the
+// time for a first answer, but is not fresh. The others do not wait for it.
+func (p Peer) failed() bool {
+	return p.HeartbeatAge < failedReaderTime && p.Reading >= takeoverDelay && !p.fresh()
 }
 
 const (
+	// failedReaderTime is the age of a reader's last heartbeat up to which it counts as one
+	// that has failed. Afterward the membership has noticed that it is down, if it is.
+	failedReaderTime = 3 * time.Second
 	// takeoverDelay is how long a node waits for each live member of its domain
-	// that ranks before it. maxTakeoverDelays bounds the number of such waits.
+	// that ranks before it, except those that have failed as readers. maxTakeoverDelays bounds the number of such waits.
 	takeoverDelay     = 250 * time.Millisecond
 	maxTakeoverDelays = 8
 )
@@ -71,9 +82,13 @@
 	if HasReader(self, peers) {
 		return false
 	}
+	failed := make(map[string]bool)
+	for _, p := range peers {
+		failed[p.Name] = p.failed()
+	}
 	before := 0
 	for _, name := range members {
-		if ranksBefore(name, self) {
+		if ranksBefore(name, self) && !failed[name] {
 			before++
 		}
 	}
--- a/pkg/reader/reader_test.go
+++ b/pkg/reader/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -52,7 +53,7 @@
 			return
 		}
 		for _, p := range peers {
-			if p.HeartbeatAge < heartbeatTimeout && p.HeartbeatAge+p.StoreAge < maxStoreAge && p.Failing < FailingTimeout && p.Stuck < stuckTimeout && rank(p.Name) < rank("vm-0") {
+			if p.HeartbeatAge < HeartbeatTimeout && p.HeartbeatAge+p.StoreAge < MaxStoreAge && p.Failing < FailingTimeout && p.Stuck < stuckTimeout && rank(p.Name) < rank("vm-0") {
 				return
 			}
 		}
@@ -113,3 +114,40 @@
 		t.Errorf("nodes that read after all delays = %d, want %d", got, want)
 	}
 }
+
+// A reader that fails must not delay the next node as one does that is about to take over: else each
+// reader that is cut off delays the takeover.
+func TestTakeoverDoesNotWaitForFailedReaders(t *testing.T) {
+	names := []string{"vm-0", "vm-1", "vm-2", "vm-3"}
+	slices.SortFunc(names, func(a, b string) int {
+		if ranksBefore(a, b) {
+			return -1
+		}
+		return 1
+	})
+	cutOff := func(i int) Peer { return Peer{Name: names[i], StoreAge: MaxStoreAge, Reading: time.Minute} }
+	for name, c := range map[string]struct {
+		self    int
+		peers   []Peer
+		missing time.Duration
+		want    bool
+	}{
+		"the first is cut off":                         {1, []Peer{cutOff(0)}, 0, true},
+		"the first is cut off, seen by the third":      {2, []Peer{cutOff(0)}, 0, false},
+		"the third, if the second does not take over":  {2, []Peer{cutOff(0)}, takeoverDelay, true},
+		"the first two are cut off":                    {2, []Peer{cutOff(0), cutOff(1)}, 0, true},
+		"the first three are cut off":                  {3, []Peer{cutOff(0), cutOff(1), cutOff(2)}, 0, true},
+		"the second has just begun to read":            {2, []Peer{cutOff(0), {Name: names[1], StoreAge: time.Minute}}, 0, false},
+		"the second has read until a minute ago":       {2, []Peer{cutOff(0), {Name: names[1], HeartbeatAge: time.Minute, Reading: 2 * time.Minute}}, 0, false},
+		"the first is down":                            {1, []Peer{{Name: names[0], HeartbeatAge: HeartbeatTimeout, Reading: time.Minute}}, 0, true},
+		"the second reads, and the store answers it":   {3, []Peer{cutOff(0), {Name: names[1], Reading: time.Second}}, time.Hour, false},
+		"the reply of a slow store is not yet too old": {1, []Peer{{Name: names[0], StoreAge: MaxStoreAge - 1, Reading: time.Minute}}, time.Hour, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			others := slices.Concat(names[:c.self], names[c.self+1:])
+			if got := Decide(names[c.self], others, c.peers, c.missing); got != c.want {
+				t.Errorf("Decide() = %v, want %v", got, c.want)
+			}
+		})
+	}
+}
