mesh: a late answer about the store's replies hides no outage

Answers to questions about the store's replies carry ages. They were taken as of the answer's arrival, so that one that was long on its way made replies seem newer than they are, by up to 1.5 s, and could hide an outage: an expired server would be dropped. Found by reading. The newest reply is now dated from the question, and the oldest from the answer. TestLateAnswerHidesNoOutage: with both dated from the arrival, as before, its two cases of spans differ by 0.7 s.

--- a/internal/mesh/ask.go
+++ b/internal/mesh/ask.go
@@ -37,12 +37,13 @@
 // ask adds the replies that the node knows of, and pulls what it has newer if no node of this
 // domain reaches the store.
 func (m *Mesh) ask(ctx context.Context, r member.Record) {
+	asked := time.Now()
 	var reply RepliesReply
 	if err := m.peers.Call(ctx, r.Addr, methodReplies, &Empty{}, &reply); err != nil {
 		m.log.WithFields(logrus.Fields{"peer": r.VM, "error": err.Error()}).Debug("mesh: could not ask for replies of the store.")
 		return
 	}
-	m.state.AddStoreReplies(reply.Replies.span(time.Now()))
+	m.state.AddStoreReplies(reply.Replies.span(asked, time.Now()))
 	if m.BestStoreAge() >= reader.MaxStoreAge {
 		m.pullNewer(r.Addr, reply.Have)
 	}
--- a/internal/mesh/ask_test.go
+++ b/internal/mesh/ask_test.go
@@ -49,6 +49,7 @@
 // there, and what has changed.
 func TestDomainWithoutTheStoreAsksAnother(t *testing.T) {
 	cutOff, other := newRepliesState(time.Now().Add(-3*time.Second)), newRepliesState(time.Now())
+	other.AddStoreReplies(outage.Between(time.Now().Add(-time.Minute), time.Now()))
 	other.Merge(follow.Upstreams, follow.Batch{Full: true, Revision: 9, Changes: []follow.Change{{Name: "i-1", Raw: []byte("x")}}})
 	a := newMesh(t, "a", "d", cutOff)
 	a.start(t)
@@ -93,6 +94,27 @@
 	}
 }
 
+// An answer that was long on its way must not make replies of the store seem newer, or a span of them
+// begin earlier, than they are: either could hide an outage.
+func TestLateAnswerHidesNoOutage(t *testing.T) {
+	asked := time.Now()
+	received := asked.Add(700 * time.Millisecond)
+	for name, c := range map[string]struct {
+		replies replies
+		want    outage.Span
+	}{
+		"span":           {replies{Known: true, First: 5 * time.Second, Last: time.Second}, outage.Between(received.Add(-5*time.Second), asked.Add(-time.Second))},
+		"shorter span":   {replies{Known: true, First: 1500 * time.Millisecond, Last: time.Second}, outage.Span{}},
+		"no known reply": {replies{}, outage.Span{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := c.replies.span(asked, received); got != c.want {
+				t.Errorf("span() = %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 // A node that knows of no reply must not report one, however short the time since its start is.
 func TestRepliesKeepTheirAges(t *testing.T) {
 	now := time.Now()
--- a/internal/mesh/types.go
+++ b/internal/mesh/types.go
@@ -75,7 +75,7 @@
 	if h.Replies == nil {
 		return outage.At(now.Add(-h.StoreAge))
 	}
-	return h.Replies.span(now)
+	return h.Replies.span(now, now)
 }
 
 // replies is an outage.Span as the ages of its first and last reply when it was sent. Known is
@@ -93,12 +93,14 @@
 	return &replies{Known: true, First: now.Sub(s.First()), Last: now.Sub(s.Last())}
 }
 
-// span returns the span of replies that have arrived now.
-func (r replies) span(now time.Time) outage.Span {
-	if !r.Known {
+// span returns the span of replies that were sent between two times. It leaves out what may
+// only seem to be in the span because the message was late.
+func (r replies) span(earliest, latest time.Time) outage.Span {
+	first, last := latest.Add(-max(r.First, 0)), earliest.Add(-max(r.Last, 0))
+	if !r.Known || last.Before(first) {
 		return outage.Span{}
 	}
-	return outage.Between(now.Add(-max(r.First, r.Last, 0)), now.Add(-max(r.Last, 0)))
+	return outage.Between(first, last)
 }
 
 // datagram is one UDP message: a membership message, a heartbeat, crash reports, news of a
