--- a/soak/faults.go
+++ b/soak/faults.go
@@ -39,7 +39,7 @@
 	{"crash-request", sendCrashingRequest}, {"crash-herd", crashHerd},
 	{"ending-request", sendEndingRequest}, {"limit", limitServer},
 	{"restore", restoreStore}, {"servers-cut", cutServers}, {"leaving", sayLeaving}, {"rest", askRest},
-	{"drill", drillStore},
+	{"drill", drillStore}, {"reader-cut", cutReader},
 }
 
 func (e *testEnv) randomNode() *node { return e.nodes[e.random.IntN(len(e.nodes))] }
