fleet: derive until when missing entries are kept

Each kept entry had an end of its own, which was set anew with each event although all of them end when the registry has settled. It is now derived from the ends of the outages. outage, mesh, daemon: clearer names; no constant that only a test uses.

--- a/internal/daemon/state_test.go
+++ b/internal/daemon/state_test.go
@@ -14,6 +14,7 @@
 	"geraniumstep.org/geraniumstep/internal/follow"
 	"geraniumstep.org/geraniumstep/internal/relay"
 	"geraniumstep.org/geraniumstep/pkg/fleet"
+	"geraniumstep.org/geraniumstep/pkg/outage"
 )
 
 // idSource is a source in which each object is an upstream whose id is the object's
@@ -48,18 +49,18 @@
 		{"no failure", func(*state) {}, 2},
 		{"short failure", func(s *state) {
 			s.Failed(follow.Upstreams, errDown)
-			time.Sleep(outageThreshold / 2)
+			time.Sleep(outage.MinFailing / 2)
 			s.Answered(follow.Upstreams)
 		}, 2},
 		{"outage", func(s *state) {
 			s.Failed(follow.Upstreams, errDown)
-			time.Sleep(outageThreshold)
+			time.Sleep(outage.MinFailing)
 			s.Answered(follow.Upstreams)
 		}, 3},
 		{"failure before a pause", func(s *state) {
 			s.Failed(follow.Upstreams, errDown)
 			s.Paused(follow.Upstreams)
-			time.Sleep(outageThreshold)
+			time.Sleep(outage.MinFailing)
 			s.Answered(follow.Upstreams)
 		}, 2},
 	} {
--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -14,16 +13,12 @@
 	"geraniumstep.org/geraniumstep/pkg/reader"
 )
 
-// outageThreshold is how long calls to the store must have failed, without a reply to any
-// node, before the directory retains removed entries.
-const outageThreshold = outage.MinFailing
-
 // availability is what the known replies of the store show.
 type availability struct {
 	// away is set if no reply has come for so long that entries may have expired.
 	away bool
-	// back is when the first reply came after the last such time, or zero.
-	back time.Time
+	// returned is when the first reply came after the last such time, or zero.
+	returned time.Time
 }
 
 // storeReplies records the known replies of the store. It is safe for concurrent use.
@@ -55,7 +50,7 @@
 	defer r.mu.Unlock()
 	a := availability{away: r.record.Away(now)}
 	if end, ok := r.record.LastEnd(); ok {
-		a.back = end
+		a.returned = end
 	}
 	return a
 }
@@ -128,7 +123,7 @@
 		return false
 	}
 	now := time.Now()
-	return now.Sub(span.Last()) >= reader.MaxStoreAge || now.Sub(s.replies.availability(now).back) < fleet.SettleTime
+	return now.Sub(span.Last()) >= reader.MaxStoreAge || now.Sub(s.replies.availability(now).returned) < fleet.SettleTime
 }
 
 // checkStore reports the availability of the store to the directory and drops the
@@ -150,8 +145,8 @@
 	switch {
 	case a.away:
 		s.directory.Step(fleet.Unavailable{})
-	case !a.back.IsZero():
-		s.directory.Step(fleet.Available{Since: a.back})
+	case !a.returned.IsZero():
+		s.directory.Step(fleet.Available{Since: a.returned})
 	default:
 		s.directory.Step(fleet.Uninterrupted{})
 	}
@@ -163,8 +158,8 @@
 		"unavailable": a.away, "newest_reply": now.Sub(s.replies.span().Last()).Round(time.Millisecond).String(),
 		"own_reply": s.StoreAge().Round(time.Millisecond).String(), "own_calls_failing": s.StoreFailing().Round(time.Millisecond).String(),
 	}
-	if !a.back.IsZero() {
-		fields["last_outage_ended"] = now.Sub(a.back).Round(time.Millisecond).String()
+	if !a.returned.IsZero() {
+		fields["last_outage_ended"] = now.Sub(a.returned).Round(time.Millisecond).String()
 	}
 	s.log.WithFields(fields).Info("tier: availability of the store changed.")
 }
@@ -174,10 +169,9 @@
 func (s *state) logRetained() {
 	ids, until := s.directory.Retained()
 	if len(ids) > s.retained {
-		last := slices.MaxFunc(until, time.Time.Compare)
 		s.log.WithFields(logrus.Fields{
 			"retained": len(ids), "upstreams": strings.Join(ids[:min(len(ids), maxLoggedEntries)], ", "),
-			"longest": max(time.Until(last), 0).Round(time.Millisecond).String(), "unavailable": s.availability.away,
+			"longest": max(time.Until(until), 0).Round(time.Millisecond).String(), "unavailable": s.availability.away,
 		}).Info("tier: removed upstreams are kept for now.")
 	}
 	s.retained = len(ids)
--- a/internal/mesh/ask_test.go
+++ b/internal/mesh/ask_test.go
@@ -84,7 +84,7 @@
 	if got, want := b.replies(now), outage.At(now.Add(-time.Second)); got != want {
 		t.Errorf("replies of an older build = %v, want %v", got, want)
 	}
-	data, err = msgpack.Marshal(heartbeat{VM: "x", StoreAge: time.Second, Replies: newReplies(outage.At(now), now)})
+	data, err = msgpack.Marshal(heartbeat{VM: "x", StoreAge: time.Second, Replies: newReplyAges(outage.At(now), now)})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -100,12 +100,12 @@
 	asked := time.Now()
 	received := asked.Add(700 * time.Millisecond)
 	for name, c := range map[string]struct {
-		replies replies
+		replies replyAges
 		want    outage.Span
 	}{
-		"span":           {replies{Known: true, First: 5 * time.Second, Last: time.Second}, outage.Between(received.Add(-5*time.Second), asked.Add(-time.Second))},
-		"shorter span":   {replies{Known: true, First: 1500 * time.Millisecond, Last: time.Second}, outage.Span{}},
-		"no known reply": {replies{}, outage.Span{}},
+		"span":           {replyAges{Known: true, First: 5 * time.Second, Last: time.Second}, outage.Between(received.Add(-5*time.Second), asked.Add(-time.Second))},
+		"shorter span":   {replyAges{Known: true, First: 1500 * time.Millisecond, Last: time.Second}, outage.Span{}},
+		"no known reply": {replyAges{}, outage.Span{}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			if got := c.replies.span(asked, received); got != c.want {
@@ -120,7 +120,7 @@
 	now := time.Now()
 	for name, s := range map[string]outage.Span{"none": {}, "one": outage.At(now.Add(-time.Second)), "span": outage.Between(now.Add(-time.Hour), now)} {
 		t.Run(name, func(t *testing.T) {
-			data, err := msgpack.Marshal(heartbeat{Replies: newReplies(s, now)})
+			data, err := msgpack.Marshal(heartbeat{Replies: newReplyAges(s, now)})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/mesh/serve.go
+++ b/internal/mesh/serve.go
@@ -62,7 +62,7 @@
 
 // Replies returns the replies of the store that this node knows of.
 func (s *methods) Replies(_ *Empty, reply *RepliesReply) error {
-	reply.Replies = *newReplies(s.mesh.state.StoreReplies(), time.Now())
+	reply.Replies = *newReplyAges(s.mesh.state.StoreReplies(), time.Now())
 	reply.Have = s.mesh.state.Revisions()
 	return nil
 }
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -196,7 +196,7 @@
 	b := heartbeat{
 		VM: m.self.VM, Addr: m.self.Addr, Have: m.state.Revisions(),
 		StoreAge: m.state.StoreAge(), StoreFailing: m.state.StoreFailing(),
-		Replies: newReplies(m.state.StoreReplies(), time.Now()),
+		Replies: newReplyAges(m.state.StoreReplies(), time.Now()),
 	}
 	for _, r := range m.domainMembers() {
 		m.send(r.Gossip, datagram{Heartbeat: &b})
--- a/internal/mesh/types.go
+++ b/internal/mesh/types.go
@@ -67,7 +67,7 @@
 	StoreFailing time.Duration `msgpack:"f,omitempty"`
 	// Replies holds the replies of the store that the sender knows of, those to other nodes
 	// included. Older builds do not send it.
-	Replies *replies `msgpack:"k,omitempty"`
+	Replies *replyAges `msgpack:"k,omitempty"`
 }
 
 // replies returns the replies of the store that the heartbeat, which arrived now, reports.
@@ -78,24 +78,24 @@
 	return h.Replies.span(now, now)
 }
 
-// replies is an outage.Span as the ages of its first and last reply when it was sent. Known is
+// replyAges is an outage.Span as the ages of its first and last reply when it was sent. Known is
 // false if the sender knows of no reply.
-type replies struct {
+type replyAges struct {
 	Known bool          `msgpack:"k"`
 	First time.Duration `msgpack:"f"`
 	Last  time.Duration `msgpack:"l"`
 }
 
-func newReplies(s outage.Span, now time.Time) *replies {
+func newReplyAges(s outage.Span, now time.Time) *replyAges {
 	if s.IsZero() {
-		return &replies{}
+		return &replyAges{}
 	}
-	return &replies{Known: true, First: now.Sub(s.First()), Last: now.Sub(s.Last())}
+	return &replyAges{Known: true, First: now.Sub(s.First()), Last: now.Sub(s.Last())}
 }
 
 // span returns the span of replies that were sent between two times. It leaves out what may
 // only seem to be in the span because the message was late.
-func (r replies) span(earliest, latest time.Time) outage.Span {
+func (r replyAges) span(earliest, latest time.Time) outage.Span {
 	first, last := latest.Add(-max(r.First, 0)), earliest.Add(-max(r.Last, 0))
 	if !r.Known || last.Before(first) {
 		return outage.Span{}
@@ -139,7 +139,7 @@
 // RepliesReply carries the replies of the store that the called node knows of, and its
 // revisions.
 type RepliesReply struct {
-	Replies replies   `msgpack:"k"`
+	Replies replyAges `msgpack:"k"`
 	Have    Revisions `msgpack:"h"`
 }
 
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -86,7 +86,7 @@
 // Directory holds the entries of the registry. It is not safe for concurrent use.
 type Directory struct {
 	entries     map[string]Entry
-	missing     map[string]time.Time // when a retained entry is dropped
+	missing     map[string]bool // entries that are kept though the registry has removed them
 	unavailable bool
 	// reportedEnd is the end of the last outage that was reported as Unavailable, and outageEnd
 	// that of the last one that a restore or a mass removal has shown.
@@ -114,7 +114,7 @@
 // New returns an empty Directory.
 func New() *Directory {
 	return &Directory{
-		entries: make(map[string]Entry), missing: make(map[string]time.Time),
+		entries: make(map[string]Entry), missing: make(map[string]bool),
 		removed: make(map[string]Entry), held: make(map[string]heldEntry),
 	}
 }
@@ -141,7 +141,6 @@
 		return false
 	case Uninterrupted:
 		d.unavailable, d.reportedEnd = false, time.Time{}
-		d.settle()
 		return false
 	case Restored:
 		d.handleRestored(now)
@@ -210,7 +209,7 @@
 		return false
 	}
 	if d.unavailable || now.Before(d.settled()) {
-		d.retain(id)
+		d.missing[id] = true
 		return false
 	}
 	d.drop(id)
@@ -227,16 +226,6 @@
 	return end.Add(SettleTime)
 }
 
-// retain keeps a missing entry until the registry has had time to settle.
-func (d *Directory) retain(id string) { d.missing[id] = d.settled() }
-
-// settle sets anew until when the missing entries are kept.
-func (d *Directory) settle() {
-	for id := range d.missing {
-		d.retain(id)
-	}
-}
-
 // recordRemoval counts a removal. When it completes a mass removal, the removed
 // entries that were not draining are restored and retained like entries removed
 // during an outage.
@@ -257,7 +246,7 @@
 		if _, present := d.entries[r.entry.id]; !present && !r.entry.draining {
 			d.entries[r.entry.id] = r.entry
 			delete(d.removed, r.entry.id)
-			d.retain(r.entry.id)
+			d.missing[r.entry.id] = true
 		}
 	}
 	d.removals = nil
@@ -290,26 +279,20 @@
 // handleAvailable starts the time in which missing entries may be listed again.
 func (d *Directory) handleAvailable(since, now time.Time) {
 	if since.IsZero() {
-		if !d.unavailable {
-			return
+		since = d.reportedEnd
+		if d.unavailable {
+			since = now
 		}
-		since = now
-	}
-	if !d.unavailable && since.Equal(d.reportedEnd) {
-		return
 	}
-	later := since.After(d.reportedEnd)
-	d.unavailable, d.reportedEnd = false, since
-	d.settle()
-	if later {
+	if since.After(d.reportedEnd) {
 		d.hold(now)
 	}
+	d.unavailable, d.reportedEnd = false, since
 }
 
 // handleRestored starts the time in which what the older copy lacks may be written again.
 func (d *Directory) handleRestored(now time.Time) {
 	d.unavailable, d.outageEnd = false, now
-	d.settle()
 	d.hold(now)
 }
 
@@ -327,12 +310,11 @@
 		return false
 	}
 	changed := false
-	for id, at := range d.missing {
-		if now.Before(at) {
-			continue
+	if !now.Before(d.settled()) {
+		for id := range d.missing {
+			d.drop(id)
+			changed = true
 		}
-		d.drop(id)
-		changed = true
 	}
 	for _, h := range d.held {
 		if !now.Before(h.until) {
@@ -342,14 +324,10 @@
 	return changed
 }
 
-// Retained returns the ids of the removed upstreams that are kept, sorted, with the time at
-// which each is dropped unless the registry stays unavailable.
-func (d *Directory) Retained() (ids []string, until []time.Time) {
-	ids = slices.Sorted(maps.Keys(d.missing))
-	for _, id := range ids {
-		until = append(until, d.missing[id])
-	}
-	return ids, until
+// Retained returns the ids of the removed upstreams that are kept, sorted, and when they are
+// dropped unless the registry is unavailable then.
+func (d *Directory) Retained() (ids []string, until time.Time) {
+	return slices.Sorted(maps.Keys(d.missing)), d.settled()
 }
 
 // Wake returns when the next Tick is due; ok is false when none is.
@@ -357,10 +335,8 @@
 	if d.unavailable {
 		return time.Time{}, false
 	}
-	for _, t := range d.missing {
-		if !ok || t.Before(at) {
-			at, ok = t, true
-		}
+	if len(d.missing) > 0 {
+		at, ok = d.settled(), true
 	}
 	for _, h := range d.held {
 		if !ok || h.until.Before(at) {
--- a/pkg/outage/outage.go
+++ b/pkg/outage/outage.go
@@ -61,11 +61,11 @@
 // Record holds what is known of a registry's replies. The zero value knows of none. It is not
 // safe for concurrent use.
 type Record struct {
-	// now is the span of the newest reply, and before the last one before an outage.
-	now, before Span
+	// latest is the span of the newest reply, and earlier the one before the last outage.
+	latest, earlier Span
 	// failing is set if calls have failed since the newest reply for as long as MinFailing, and
-	// failedBefore if they had between the two spans.
-	failing, failedBefore bool
+	// failedBetween if they had between the two spans.
+	failing, failedBetween bool
 }
 
 // limit returns the pause that counts as an outage.
@@ -82,45 +82,45 @@
 	switch {
 	case s.IsZero():
 		return
-	case r.now.IsZero():
-		r.now = s
+	case r.latest.IsZero():
+		r.latest = s
 		return
-	case s.joins(r.now, limit(r.failing)):
-		if s.last.After(r.now.last) {
+	case s.joins(r.latest, limit(r.failing)):
+		if s.last.After(r.latest.last) {
 			r.failing = false
 		}
-		r.now = r.now.union(s)
-	case s.first.After(r.now.last):
-		r.before, r.failedBefore = r.now, r.failing
-		r.now, r.failing = s, false
-	case s.joins(r.before, limit(r.failedBefore)):
-		r.before = r.before.union(s)
-	case s.first.After(r.before.last):
-		r.before, r.failedBefore = s, false
+		r.latest = r.latest.union(s)
+	case s.first.After(r.latest.last):
+		r.earlier, r.failedBetween = r.latest, r.failing
+		r.latest, r.failing = s, false
+	case s.joins(r.earlier, limit(r.failedBetween)):
+		r.earlier = r.earlier.union(s)
+	case s.first.After(r.earlier.last):
+		r.earlier, r.failedBetween = s, false
 	}
-	if r.now.joins(r.before, limit(r.failedBefore)) {
-		r.now, r.before = r.now.union(r.before), Span{}
+	if r.latest.joins(r.earlier, limit(r.failedBetween)) {
+		r.latest, r.earlier = r.latest.union(r.earlier), Span{}
 	}
 }
 
 // Fail notes that calls have failed since a time without any reply.
 func (r *Record) Fail(since, now time.Time) {
-	if now.Sub(since) >= MinFailing && r.now.last.Compare(since) <= 0 {
+	if now.Sub(since) >= MinFailing && r.latest.last.Compare(since) <= 0 {
 		r.failing = true
 	}
 }
 
 // Span returns the span of the newest reply.
-func (r *Record) Span() Span { return r.now }
+func (r *Record) Span() Span { return r.latest }
 
 // Away reports whether the time since the newest reply counts as an outage. It does not if no
 // reply is known.
 func (r *Record) Away(now time.Time) bool {
-	return !r.now.IsZero() && now.Sub(r.now.last) >= limit(r.failing)
+	return !r.latest.IsZero() && now.Sub(r.latest.last) >= limit(r.failing)
 }
 
 // LastEnd returns the time of the first reply after the last outage; ok is false if no outage
 // is known.
 func (r *Record) LastEnd() (end time.Time, ok bool) {
-	return r.now.first, !r.before.IsZero()
+	return r.latest.first, !r.earlier.IsZero()
 }
--- a/pkg/reader/reader.go
+++ b/pkg/reader/reader.go
@@ -69,7 +69,8 @@
 	// that has failed. Afterward the membership has noticed that it is down, if it is.
 	failedReaderTime = 3 * time.Second
 	// takeoverDelay is how long a node waits for each live member of its domain
-	// that ranks before it, except those that have failed as readers. maxTakeoverDelays bounds the number of such waits.
+	// that ranks before it, except those that have failed as readers.
+	// maxTakeoverDelays bounds the number of such waits.
 	takeoverDelay     = 250 * time.Millisecond
 	maxTakeoverDelays = 8
 )
