--- a/soak/advice.go
+++ b/soak/advice.go
@@ -31,12 +31,7 @@
 // sayLeaving makes a server say in its answers that it leaves. Another one has started before.
 func sayLeaving(e *testEnv) activeFault {
 	s := e.randomServer()
-	if err := e.startServers(s.Service, 1); err != nil {
-		panic(err) // this machine has no free port
-	}
-	e.mu.Lock()
-	delete(e.servers, s.ID)
-	e.mu.Unlock()
+	e.retire(s)
 	w := wordOfLeaving{server: s.ID, from: time.Now()}
 	s.SetLeaving(true)
 	return activeFault{detail: s.ID, planned: true, duration: e.randomDuration(6*time.Second, 10*time.Second), end: func() {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -204,15 +204,20 @@
 	_ = s.http.Close()
 }
 
-// drainServer drains a server after its replacement has started.
-func drainServer(e *testEnv) activeFault {
-	s := e.randomServer()
+// retire starts a replacement of a server and leaves the server out of those that faults draw from.
+func (e *testEnv) retire(s *server) {
 	if err := e.startServers(s.Service, 1); err != nil {
 		panic(err) // this machine has no free port
 	}
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	delete(e.servers, s.ID)
-	e.mu.Unlock()
+}
+
+// drainServer drains a server after its replacement has started.
+func drainServer(e *testEnv) activeFault {
+	s := e.randomServer()
+	e.retire(s)
 	e.store.Put("servers", s.ID, s.Entry(s.proxy.addr(), s.zone, "draining"))
 	e.checker.mu.Lock()
 	e.checker.drained[s.ID] = time.Now()
--- a/soak/reader.go
+++ b/soak/reader.go
@@ -17,12 +17,7 @@
 	n := e.firstReader(e.randomNode().zone)
 	state := []linkState{linkSilent, linkOneWay, linkReset}[e.random.IntN(3)]
 	s := e.randomServer()
-	if err := e.startServers(s.Service, 1); err != nil {
-		panic(err) // this machine has no free port
-	}
-	e.mu.Lock()
-	delete(e.servers, s.ID)
-	e.mu.Unlock()
+	e.retire(s)
 	n.storeProxy.setState(state)
 	time.Sleep(e.randomDuration(0, longestRemovalDelay))
 	e.store.Delete("servers", s.ID)
