follow: spread the watches of the two topics, in place of shorter ones

Now the two watches of a reader wait 1.5 s again and end half of that apart, so that one of them is answered each 0.75 s. A follower looks for its role each 0.2 s again. From the reader's last reply to the next one's: 1.3 + 0.1 (tick) + 0.2 (follower) s and one call; 0.25 s more if two are cut off at once, which is still less than the 2 s that count as an outage.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -256,8 +256,9 @@
 	defer stop()
 	callers := d.server(d.handler)
 	var group run.Group
+	pacer := follow.NewPacer()
 	for _, topic := range topics {
-		f := follow.New(d.source, topic, d.state, follow.WithLog(d.log), follow.WithActive(d.mesh.ReadsStore))
+		f := follow.New(d.source, topic, d.state, follow.WithLog(d.log), follow.WithActive(d.mesh.ReadsStore), follow.WithPacer(pacer))
 		group.Add(func() error { return f.Run(work) }, func(error) { stop() })
 	}
 	group.Add(func() error { return d.state.run(work) }, func(error) { stop() })
--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -102,6 +102,17 @@
 	return oldest
 }
 
+// StoreReplyAge implements mesh.State.
+func (s *state) StoreReplyAge() time.Duration {
+	newest := time.Since(s.started)
+	for t := range s.lastAnswer {
+		if answered := s.lastAnswer[t].Load(); answered != nil {
+			newest = min(newest, time.Since(*answered))
+		}
+	}
+	return newest
+}
+
 // StoreReplies implements mesh.State.
 func (s *state) StoreReplies() outage.Span { return s.replies.span() }
 
@@ -123,7 +134,7 @@
 		return false
 	}
 	now := time.Now()
-	return now.Sub(span.Last()) >= reader.MaxStoreAge || now.Sub(s.replies.availability(now).returned) < fleet.SettleTime
+	return now.Sub(span.Last()) >= reader.MaxReplyAge || now.Sub(s.replies.availability(now).returned) < fleet.SettleTime
 }
 
 // checkStore reports the availability of the store to the directory and drops the
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -126,10 +126,9 @@
 	listTimeout = 1500 * time.Millisecond
 	// watchWait is how long a watch waits at the store, less the pause before it. It
 	// is short, because after the store has discarded its history pending watches
-	// receive no changes, and a node that has lost its connection to the store gets
-	// none either. Only a missing reply shows that, while a change must be in force
-	// within 3 s.
-	watchWait = time.Second
+	// receive no changes and only a new call shows that, while a change must be in
+	// force within 3 s.
+	watchWait = 1500 * time.Millisecond
 	// watchSlack is how much longer than requested a watch may take.
 	watchSlack = 700 * time.Millisecond
 	// minBackoff and maxBackoff bound the delay between attempts while calls
@@ -138,7 +137,7 @@
 	maxBackoff = time.Second
 	// idlePollInterval is how often an inactive follower checks whether it has
 	// become active.
-	idlePollInterval = 50 * time.Millisecond
+	idlePollInterval = 200 * time.Millisecond
 	// defaultBatchDelay lets changes that are made shortly after each other be
 	// read with one call. It is a small part of the seconds within which a change
 	// must be in force.
@@ -153,6 +152,7 @@
 	log        *logrus.Entry
 	batchDelay time.Duration
 	active     func() bool
+	pacer      *Pacer
 	relist     bool
 	failing    bool
 	failures   int
@@ -177,10 +177,14 @@
 // By default it always may.
 func WithActive(active func() bool) Option { return func(f *Follower) { f.active = active } }
 
+// WithPacer sets the pacer that the followers of several topics share. By default each waits
+// as long as it may.
+func WithPacer(p *Pacer) Option { return func(f *Follower) { f.pacer = p } }
+
 // New returns a follower of the topic.
 func New(source Source, t Topic, sink Sink, opts ...Option) *Follower {
 	f := &Follower{
-		source: source, topic: t, sink: sink, batchDelay: defaultBatchDelay, active: func() bool { return true },
+		source: source, topic: t, sink: sink, batchDelay: defaultBatchDelay, active: func() bool { return true }, pacer: NewPacer(),
 		log: logrus.NewEntry(logrus.StandardLogger()),
 	}
 	for _, opt := range opts {
@@ -243,7 +247,7 @@
 		defer cancel()
 		return f.source.List(ctx, f.topic)
 	}
-	wait := watchWait - f.paused
+	wait := f.pacer.wait(f.topic, f.paused)
 	if f.failing || f.idle {
 		// A call while the store fails or after an idle period returns at once,
 		// which shows without delay whether the store answers.
--- a/internal/mesh/ask.go
+++ b/internal/mesh/ask.go
@@ -44,7 +44,7 @@
 		return
 	}
 	m.state.AddStoreReplies(reply.Replies.span(asked, time.Now()))
-	if m.BestStoreAge() >= reader.MaxStoreAge {
+	if m.BestStoreAge() >= reader.MaxReplyAge {
 		m.pullNewer(r.Addr, reply.Have)
 	}
 }
--- a/internal/mesh/ask_test.go
+++ b/internal/mesh/ask_test.go
@@ -23,6 +23,8 @@
 
 func (s *repliesState) StoreAge() time.Duration { return time.Since(s.own) }
 
+func (s *repliesState) StoreReplyAge() time.Duration { return time.Since(s.own) }
+
 func (s *repliesState) StoreReplies() outage.Span {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -37,11 +37,12 @@
 	return s.views[t].Since(revision)
 }
 
-func (s *fakeState) StoreAge() time.Duration     { return 0 }
-func (s *fakeState) StoreFailing() time.Duration { return 0 }
-func (s *fakeState) StoreReplies() outage.Span   { return outage.Span{} }
-func (s *fakeState) AddStoreReplies(outage.Span) {}
-func (s *fakeState) StoreInDoubt() bool          { return false }
+func (s *fakeState) StoreAge() time.Duration      { return 0 }
+func (s *fakeState) StoreFailing() time.Duration  { return 0 }
+func (s *fakeState) StoreReplyAge() time.Duration { return 0 }
+func (s *fakeState) StoreReplies() outage.Span    { return outage.Span{} }
+func (s *fakeState) AddStoreReplies(outage.Span)  {}
+func (s *fakeState) StoreInDoubt() bool           { return false }
 
 // newMesh returns a node of the domain that listens on a free loopback port.
 func newMesh(t testing.TB, vm, domain string, state State, seeds ...string) *Mesh {
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -24,8 +24,10 @@
 	// Since returns the batch that brings a node at the given revision of a
 	// topic up to date.
 	Since(t follow.Topic, revision uint64) follow.Batch
-	// StoreAge returns the time since the store last answered this node.
+	// StoreAge returns the time since the store last answered this node about the topic
+	// that it was answered about longest ago, and StoreReplyAge about any topic.
 	StoreAge() time.Duration
+	StoreReplyAge() time.Duration
 	// StoreFailing returns how long this node's calls to the store have been
 	// failing, or 0 if the last call succeeded.
 	StoreFailing() time.Duration
@@ -158,7 +160,7 @@
 			continue
 		}
 		list = append(list, reader.Peer{
-			Name: name, HeartbeatAge: now.Sub(b.at), StoreAge: b.heartbeat.StoreAge, Failing: b.heartbeat.StoreFailing, Stuck: b.stuckFor(local, now),
+			Name: name, HeartbeatAge: now.Sub(b.at), ReplyAge: b.heartbeat.ReplyAge, StoreAge: b.heartbeat.StoreAge, Failing: b.heartbeat.StoreFailing, Stuck: b.stuckFor(local, now),
 			Reading: now.Sub(b.began),
 		})
 	}
@@ -182,7 +184,7 @@
 // once when the store has answered, or begins to fail.
 func (m *Mesh) heartbeatIfDue(now time.Time) {
 	failing := m.state.StoreFailing() >= reader.FailingTimeout
-	reply := now.Add(-m.state.StoreAge())
+	reply := now.Add(-m.state.StoreReplyAge())
 	answered := reply.Sub(m.reportedReply) >= tickInterval
 	if !m.ReadsStore() || (now.Sub(m.lastHeartbeat) < reader.HeartbeatInterval && failing == m.reportedFailing && !answered) {
 		return
@@ -195,7 +197,7 @@
 func (m *Mesh) sendHeartbeats() {
 	b := heartbeat{
 		VM: m.self.VM, Addr: m.self.Addr, Have: m.state.Revisions(),
-		StoreAge: m.state.StoreAge(), StoreFailing: m.state.StoreFailing(),
+		StoreAge: m.state.StoreAge(), ReplyAge: m.state.StoreReplyAge(), StoreFailing: m.state.StoreFailing(),
 		Replies: newReplyAges(m.state.StoreReplies(), time.Now()),
 	}
 	for _, r := range m.domainMembers() {
--- a/internal/mesh/types.go
+++ b/internal/mesh/types.go
@@ -61,8 +61,11 @@
 	VM   string    `msgpack:"v"`
 	Addr string    `msgpack:"a"`
 	Have Revisions `msgpack:"h"`
-	// StoreAge is the time since the store last answered the sender.
+	// StoreAge is the time since the store last answered the sender about the topic that it
+	// was answered about longest ago, and ReplyAge about any topic. Older builds do not send
+	// ReplyAge.
 	StoreAge time.Duration `msgpack:"s"`
+	ReplyAge time.Duration `msgpack:"p,omitempty"`
 	// StoreFailing is how long the sender's calls to the store have been failing.
 	StoreFailing time.Duration `msgpack:"f,omitempty"`
 	// Replies holds the replies of the store that the sender knows of, those to other nodes
--- a/pkg/reader/reader.go
+++ b/pkg/reader/reader.go
@@ -20,10 +20,13 @@
 	HeartbeatTimeout = 1200 * time.Millisecond
 	// HeartbeatInterval is how often a reader sends its revisions to the others.
 	HeartbeatInterval = 400 * time.Millisecond
-	// MaxStoreAge is the age of a reader's last answer from the store at which
-	// the next node takes over. A watch is answered each second, even when nothing
-	// changes; the rest is for a slow store and for the heartbeat that reports it.
-	MaxStoreAge = 1400 * time.Millisecond
+	// MaxReplyAge is the age of a reader's newest answer from the store at which the
+	// next node takes over. One of its watches is answered each 0.75 s, even when
+	// nothing changes; the rest is for a slow store, for a busy node and for the
+	// heartbeat that reports the answer.
+	MaxReplyAge = 1300 * time.Millisecond
+	// maxTopicAge is the same for the watch that was answered longest ago.
+	maxTopicAge = 2600 * time.Millisecond
 	// FailingTimeout is how long a reader's calls to the store may fail before
 	// the next node takes over. It covers several calls, so that one lost answer
 	// does not cause a takeover.
@@ -40,7 +43,11 @@
 	Name string
 	// HeartbeatAge is the time since its last heartbeat was received.
 	HeartbeatAge time.Duration
-	// StoreAge is the age of its last answer from the store at that heartbeat.
+	// ReplyAge is the age of its newest answer from the store at that heartbeat, or 0
+	// if it does not report that.
+	ReplyAge time.Duration
+	// StoreAge is the age, at that heartbeat, of the last answer to the watch that was
+	// answered longest ago.
 	StoreAge time.Duration
 	// Failing is how long its calls to the store had been failing at that
 	// heartbeat, or 0 if the last call was answered.
@@ -55,7 +62,7 @@
 // fresh reports whether the peer's heartbeats arrive, the store answers it, and its
 // updates arrive at this node.
 func (p Peer) fresh() bool {
-	return p.HeartbeatAge < HeartbeatTimeout && p.HeartbeatAge+p.StoreAge < MaxStoreAge && p.Failing < FailingTimeout && p.Stuck < stuckTimeout
+	return p.HeartbeatAge < HeartbeatTimeout && p.HeartbeatAge+p.ReplyAge < MaxReplyAge && p.HeartbeatAge+p.StoreAge < maxTopicAge && p.Failing < FailingTimeout && p.Stuck < stuckTimeout
 }
 
 // failed reports whether the peer has read the store until now or a moment ago, and has had the
