--- a/internal/daemon/store_test.go
+++ b/internal/daemon/store_test.go
@@ -22,12 +22,12 @@
 }
 
 // A node that takes over from a reader without a connection to the store must not take the reader's
-// silence for an outage, nor must one that only hears of the new reader's replies.
+// silence for an outage, nor must one to which only the new reader's replies are reported.
 func TestRemovalReadAfterTakeoverIsNotKept(t *testing.T) {
 	for name, c := range map[string]struct {
 		// silence is the age of the old reader's last reply when the store answers again.
 		silence time.Duration
-		// others are replies that another failure domain knows of.
+		// others are the replies known in another failure domain.
 		others outage.Span
 		want   string
 	}{
@@ -125,7 +125,7 @@
 	}
 }
 
-// A node that has just started, or has never called the store, knows of no reply and must not report
+// A node that has just started, or has never called the store, has no reply and must not report
 // its start as one.
 func TestNodeWithoutRepliesReportsNone(t *testing.T) {
 	s := newTextState(t)
--- a/internal/mesh/ask.go
+++ b/internal/mesh/ask.go
@@ -21,8 +21,8 @@
 )
 
 // askIfDue asks nodes of other failure domains which replies of the store they know of while
-// this node reads the store and is in doubt whether that is away. Only a reply to any node
-// tells a store that is away from one that this domain has lost its connections to.
+// this node reads the store and is in doubt whether that is away. Only a reply to some
+// node shows that the store is there, and that this domain has lost its connections to it.
 func (m *Mesh) askIfDue(now time.Time) {
 	if !m.ReadsStore() || now.Sub(m.lastAsk) < askInterval || !m.state.StoreInDoubt() {
 		return
@@ -34,8 +34,8 @@
 	}
 }
 
-// ask adds the replies that the node knows of, and pulls what it has newer if no node of this
-// domain reaches the store.
+// ask adds the replies known to the node, and pulls what it has newer if no node of this domain
+// reaches the store.
 func (m *Mesh) ask(ctx context.Context, r member.Record) {
 	asked := time.Now()
 	var reply RepliesReply
--- a/internal/mesh/ask_test.go
+++ b/internal/mesh/ask_test.go
@@ -117,7 +117,7 @@
 	}
 }
 
-// A node that knows of no reply must not report one, however short the time since its start is.
+// A node without a known reply must not report one, however short the time since its start is.
 func TestRepliesKeepTheirAges(t *testing.T) {
 	now := time.Now()
 	for name, s := range map[string]outage.Span{"none": {}, "one": outage.At(now.Add(-time.Second)), "span": outage.Between(now.Add(-time.Hour), now)} {
--- a/internal/mesh/serve.go
+++ b/internal/mesh/serve.go
@@ -60,7 +60,7 @@
 	return nil
 }
 
-// Replies returns the replies of the store that this node knows of.
+// Replies returns the replies of the store that are known to this node.
 func (s *methods) Replies(_ *Empty, reply *RepliesReply) error {
 	reply.Replies = *newReplyAges(s.mesh.state.StoreReplies(), time.Now())
 	reply.Have = s.mesh.state.Revisions()
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -32,9 +32,9 @@
 	// failing, or 0 if the last call succeeded.
 	StoreFailing() time.Duration
 	// StoreReplies returns the last period, without an outage, of the replies of the store
-	// that this node knows of, those to other nodes included.
+	// that are known to this node, those to other nodes included.
 	StoreReplies() outage.Span
-	// AddStoreReplies adds replies of the store that another node knows of.
+	// AddStoreReplies adds replies of the store that are known to another node.
 	AddStoreReplies(s outage.Span)
 	// StoreInDoubt reports whether the known replies leave open that the store is, or was a
 	// moment ago, unavailable.
--- a/internal/mesh/types.go
+++ b/internal/mesh/types.go
@@ -68,8 +68,8 @@
 	ReplyAge time.Duration `msgpack:"p,omitempty"`
 	// StoreFailing is how long the sender's calls to the store have been failing.
 	StoreFailing time.Duration `msgpack:"f,omitempty"`
-	// Replies holds the replies of the store that the sender knows of, those to other nodes
-	// included. Older builds do not send it.
+	// Replies holds the replies of the store that are known to the sender, those to other
+	// nodes included. Older builds do not send it.
 	Replies *replyAges `msgpack:"k,omitempty"`
 }
 
@@ -82,7 +82,7 @@
 }
 
 // replyAges is an outage.Span as the ages of its first and last reply when it was sent. Known is
-// false if the sender knows of no reply.
+// false if no reply is known to the sender.
 type replyAges struct {
 	Known bool          `msgpack:"k"`
 	First time.Duration `msgpack:"f"`
@@ -139,7 +139,7 @@
 	Batch *follow.Batch `msgpack:"b"`
 }
 
-// RepliesReply carries the replies of the store that the called node knows of, and its
+// RepliesReply carries the replies of the store that are known to the called node, and its
 // revisions.
 type RepliesReply struct {
 	Replies replyAges `msgpack:"k"`
--- a/pkg/outage/outage.go
+++ b/pkg/outage/outage.go
@@ -7,7 +7,7 @@
 //
 //	var r outage.Record
 //	r.Add(outage.At(time.Now()))     // a reply to this node
-//	r.Add(outage.Between(from, to))  // replies that another node knows of
+//	r.Add(outage.Between(from, to))  // replies known to another node
 //	end, ok := r.LastEnd()           // when the last outage ended, if there was one
 package outage
 
@@ -58,7 +58,7 @@
 	return s
 }
 
-// Record holds what is known of a registry's replies. The zero value knows of none. It is not
+// Record holds what is known of a registry's replies. The zero value holds none. It is not
 // safe for concurrent use.
 type Record struct {
 	// latest is the span of the newest reply, and earlier the one before the last outage.
--- a/pkg/outage/outage_test.go
+++ b/pkg/outage/outage_test.go
@@ -106,7 +106,7 @@
 }
 
 // TestTwoNodesKnowOfTheSameOutage checks that two nodes that know of different replies agree, once
-// they have exchanged their spans, with one that knows of all: replies fill each other's pauses.
+// they have exchanged their spans, with one to which all are known: replies fill each other's pauses.
 func TestTwoNodesKnowOfTheSameOutage(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		replies := rapid.SliceOfN(rapid.IntRange(0, 8000), 1, 16).Draw(t, "replies")
