--- a/review/_standin2/client.go
+++ b/review/_standin2/client.go
@@ -2,25 +2,21 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
-	"sync"
 	"time"
 )
 
 // client sends one request at a time on a connection that it keeps. It does not send a request
 // twice.
 type client struct {
-	addr, name string
-	rec        *record
-	conn       net.Conn
-	reader     *bufio.Reader
+	addr, name, key string
+	rec             *record
+	conn            net.Conn
+	reader          *bufio.Reader
 }
 
 // result is the answer to a request. Status is 0 without one.
@@ -38,7 +34,7 @@
 	r := c.exchange(id, method, host, path, body, wait)
 	detail := "no answer"
 	if r.err == nil {
-		detail = fmt.Sprintf("%d %s%s", r.status, r.header.Get("X-Server-Stamp"), r.header.Get("X-Part-Stamps"))
+		detail = fmt.Sprintf("%d %s", r.status, r.header.Get(wire["stamp"]))
 	}
 	c.rec.add("answered", id, c.name, detail)
 	return r
@@ -54,8 +50,8 @@
 	}
 	c.rec.add("sent", id, c.name, method+" "+path+" "+hashOf([]byte(body)))
 	_ = c.conn.SetDeadline(time.Now().Add(wait + 2*time.Second))
-	_, err := fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Time-Remaining: %d\r\nContent-Length: %d\r\n\r\n%s",
-		method, path, host, id, wait.Milliseconds(), len(body), body)
+	_, err := fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
+		method, path, host, c.key, wire["id"], id, wire["remaining"], wait.Milliseconds(), len(body), body)
 	if err != nil {
 		c.close()
 		return result{id: id, err: err}
@@ -76,45 +72,3 @@
 	_ = c.conn.Close()
 	c.conn = nil
 }
-
-// load sends requests with many clients until the context is done. Each client waits for its
-// answer, and then for a pause of the mean length.
-func load(ctx context.Context, d *deployment, nodes []*node, perNode int, pause time.Duration, one func(c *client)) *sync.WaitGroup {
-	var all sync.WaitGroup
-	for _, n := range nodes {
-		for i := range perNode {
-			c := &client{addr: n.caller, name: n.name + "-client-" + strconv.Itoa(i), rec: d.rec}
-			all.Go(func() {
-				for ctx.Err() == nil {
-					select {
-					case <-time.After(time.Duration(rand.ExpFloat64() * float64(pause))):
-					case <-ctx.Done():
-						return
-					}
-					one(c)
-				}
-			})
-		}
-	}
-	return &all
-}
-
-// promisesNotRun reports whether the status promises that the request has not run and never will.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
-// stamps returns the receipts in an answer.
-func stamps(h http.Header) []string {
-	var list []string
-	for _, s := range strings.Split(strings.Join(h.Values("X-Part-Stamps"), ","), ",") {
-		if s = strings.TrimSpace(s); s != "" {
-			list = append(list, s)
-		}
-	}
-	return list
-}
--- a/review/_standin2/deployment.go
+++ b/review/_standin2/deployment.go
@@ -8,6 +8,8 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -20,17 +22,22 @@
 	name, zone           string
 	caller, ready, inner string
 	store                string
-	process              *exec.Cmd
-	exited               chan struct{}
+	// link is what the others reach inner by, and side the side of the cut that it is on.
+	link *link
+	side int
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	exited  chan struct{}
 }
 
 // deployment is a small installation: a store, servers and nodes.
 type deployment struct {
 	folder  string
 	regions string
-	// delay is how long a message takes between the regions, one way.
-	delay   time.Duration
 	store   *store
+	// cut is whether the nodes of the two sides are separated.
+	cut     atomic.Bool
 	servers []*server
 	nodes   []*node
 	rec     *record
@@ -55,19 +62,22 @@
 	return nil
 }
 
-// addNode makes a node that sees the servers through the links, by id, if there are any.
-func (d *deployment) addNode(name, zone string, links map[string]string) (*node, error) {
+// addNode makes a node. The others reach it through a link.
+func (d *deployment) addNode(name, zone string) (*node, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	go func() { _ = http.Serve(l, d.store.view(links)) }()
+	go func() { _ = http.Serve(l, d.store.handler()) }()
 	n := &node{name: name, zone: zone, store: l.Addr().String()}
 	for _, addr := range []*string{&n.caller, &n.ready, &n.inner} {
 		if *addr, err = freeAddr(); err != nil {
 			return nil, err
 		}
 	}
+	if n.link, err = newLink(d, n); err != nil {
+		return nil, err
+	}
 	d.nodes = append(d.nodes, n)
 	return n, nil
 }
@@ -87,10 +97,10 @@
 }
 
 // settings returns what the platform makes of deploy/settings.yaml.
-func (d *deployment) settings(n *node) string {
+func (d *deployment) settings(n *node, first bool) string {
 	var seeds []string
 	for _, other := range d.nodes[:min(len(d.nodes), 3)] {
-		seeds = append(seeds, fmt.Sprintf("%q", other.inner))
+		seeds = append(seeds, fmt.Sprintf("%q", other.link.addr))
 	}
 	return fmt.Sprintf(`vm: %q
 failure_domain: %q
@@ -99,44 +109,33 @@
   caller: %q
   ready: %q
   inner: %q
+  announce: %q
 ready_path: /readiness
 platform:
   url: "http://%s"
 peers: [%s]
-first_start: true
+first_start: %v
 budget:
   ratio: 0.2
   allowance: 58
   window: 10s
+allotment:
+  window: 5s
+  excess: 0.1
+  slack: 20
 capacity: 0.4
 memory_mb: 284
 stop:
   grace: 6s
-`, n.name, n.zone, d.regions, n.caller, n.ready, n.inner, n.store, strings.Join(seeds, ", "))
+`, n.name, n.zone, d.regions, n.caller, n.ready, n.inner, n.link.addr, n.store, strings.Join(seeds, ", "), first)
 }
 
 // start starts all nodes and waits until they are ready.
 func (d *deployment) start() error {
 	for _, n := range d.nodes {
-		path := filepath.Join(d.folder, n.name+".yaml")
-		if err := os.WriteFile(path, []byte(d.settings(n)), 0o600); err != nil {
-			return err
-		}
-		log, err := os.Create(filepath.Join(d.folder, n.name+".log"))
-		if err != nil {
+		if err := d.startNode(n, true); err != nil {
 			return err
 		}
-		n.process = exec.Command(program, "relay", "--config", path)
-		n.process.Stdout, n.process.Stderr = log, log
-		n.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-		if err := n.process.Start(); err != nil {
-			return err
-		}
-		n.exited = make(chan struct{})
-		go func() {
-			defer close(n.exited)
-			_ = n.process.Wait()
-		}()
 	}
 	for _, n := range d.nodes {
 		if err := n.awaitReady(); err != nil {
@@ -147,6 +146,45 @@
 	return nil
 }
 
+// startNode starts the process of a node.
+func (d *deployment) startNode(n *node, first bool) error {
+	path := filepath.Join(d.folder, n.name+".yaml")
+	if err := os.WriteFile(path, []byte(d.settings(n, first)), 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(d.folder, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	process := exec.Command(program, "relay", "--config", path)
+	process.Stdout, process.Stderr = log, log
+	if err := process.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	n.mu.Lock()
+	n.process, n.exited = process, exited
+	n.mu.Unlock()
+	go func() {
+		defer close(exited)
+		_ = process.Wait()
+	}()
+	return nil
+}
+
+// kill ends the process of a node, if it has one.
+func (n *node) kill() {
+	n.mu.Lock()
+	process, exited := n.process, n.exited
+	n.mu.Unlock()
+	if process == nil {
+		return
+	}
+	_ = process.Process.Signal(syscall.SIGKILL)
+	<-exited
+}
+
 func (n *node) awaitReady() error {
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		res, err := http.Get("http://" + n.ready + "/readiness")
@@ -164,10 +202,7 @@
 // stop ends all nodes, and keeps their logs if KEEP_LOGS names a folder.
 func (d *deployment) stop() {
 	for _, n := range d.nodes {
-		if n.process != nil && n.process.Process != nil {
-			_ = n.process.Process.Signal(syscall.SIGKILL)
-			<-n.exited
-		}
+		n.kill()
 		if folder := os.Getenv("KEEP_LOGS"); folder != "" {
 			if data, err := os.ReadFile(filepath.Join(d.folder, n.name+".log")); err == nil {
 				_ = os.WriteFile(filepath.Join(folder, n.name+".log"), data, 0o600)
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -2,7 +2,7 @@
 // platform's store, servers, links and clients. It starts the project's nodes as processes,
 // plays one case, writes record.txt into the folder of the case and ends all processes.
 //
-//	standin2 twice review/6
+//	standin2 quota review/7
 //
 // It exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run. With
 // TROUBLE=0 it plays the case without the disruption.
@@ -12,6 +12,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
 // The exit codes.
@@ -24,13 +27,26 @@
 // errBroken is returned by a case in which the rule was broken.
 var errBroken = errors.New("the rule was broken")
 
-var cases = map[string]func(d *deployment, trouble bool) error{
-	"twice": playTwice,
-}
+var cases = map[string]func(d *deployment, trouble bool) error{"quota": playQuota}
 
-// regions are those of each domain, as in the settings of a node.
+// regionsOf are the regions of each case, as in the settings of a node.
 const regions = `{"nbo-a": "nairobi", "mba-a": "mombasa", "ksm-a": "kisumu"}`
 
+// longest is how long a case may take. It then ends all processes and fails.
+const longest = 110 * time.Second
+
+// stopEarly ends all processes and this one on a signal, or when the case takes too long.
+func (d *deployment) stopEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	select {
+	case <-signals:
+	case <-time.After(longest):
+	}
+	d.stop()
+	os.Exit(exitFailed)
+}
+
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -44,6 +60,7 @@
 		return exitFailed
 	}
 	defer d.stop()
+	go d.stopEarly()
 	err = cases[os.Args[1]](d, os.Getenv("TROUBLE") != "0")
 	if failure := d.rec.write(os.Args[2]); failure != nil {
 		err = errors.Join(err, failure)
--- a/review/_standin2/store.go
+++ b/review/_standin2/store.go
@@ -81,9 +81,8 @@
 	s.changed = make(chan struct{})
 }
 
-// view returns the store as one node sees it. It replaces the addresses of servers by those
-// of the links between the node and the servers, if there are any.
-func (s *store) view(links map[string]string) http.Handler {
+// handler returns the store's interface.
+func (s *store) handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 		w.Header().Set("Content-Type", "application/json")
@@ -91,9 +90,9 @@
 		case r.Method != http.MethodGet:
 			s.write(w, r, kind, name)
 		case r.URL.Query().Get("watch") != "":
-			s.watch(w, r, kind, links)
+			s.watch(w, r, kind)
 		default:
-			s.list(w, kind, links)
+			s.list(w, kind)
 		}
 	})
 }
@@ -137,7 +136,7 @@
 }
 
 // list returns all objects of a kind in one page.
-func (s *store) list(w http.ResponseWriter, kind string, links map[string]string) {
+func (s *store) list(w http.ResponseWriter, kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	items := []any{}
@@ -147,13 +146,13 @@
 	}
 	sort.Strings(names)
 	for _, n := range names {
-		items = append(items, encode(s.objects[kind][n], links))
+		items = append(items, encode(s.objects[kind][n]))
 	}
 	reply(w, map[string]any{"items": items, "more": false, "atRev": s.revision})
 }
 
 // watch returns the changes of a kind after a revision, and waits for one.
-func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string, links map[string]string) {
+func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
 	since, err := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	wait, err2 := strconv.ParseInt(r.URL.Query().Get("waitMs"), 10, 64)
 	if err != nil || err2 != nil {
@@ -166,7 +165,7 @@
 		events := []any{}
 		for _, ev := range s.events {
 			if ev.kind == kind && ev.object.revision > since {
-				events = append(events, map[string]any{"object": encode(ev.object, links), "deleted": ev.deleted})
+				events = append(events, map[string]any{"object": encode(ev.object), "deleted": ev.deleted})
 			}
 		}
 		at, changed := s.revision, s.changed
@@ -186,16 +185,10 @@
 }
 
 // encode returns an object as the store sends it.
-func encode(o object, links map[string]string) any {
-	spec := o.spec
-	var fields map[string]any
-	if links[o.name] != "" && json.Unmarshal(spec, &fields) == nil {
-		fields["address"] = links[o.name]
-		spec, _ = json.Marshal(fields) // decoded a line before
-	}
+func encode(o object) any {
 	return map[string]any{
 		"meta":   map[string]any{"name": o.name, "revision": o.revision, "createdRev": o.created, "finalizers": []string{}, "deleting": false},
-		"spec":   spec,
+		"spec":   o.spec,
 		"status": map[string]any{},
 	}
 }
