review: case 7 takes its addresses from IP addresses of their own

Cause: two runs in a fresh clone ended with 2, because a node's port had been taken before it listened. Change: each address of a node has a loopback IP address of its own.

--- a/review/_standin2/deployment.go
+++ b/review/_standin2/deployment.go
@@ -82,9 +82,15 @@
 	return n, nil
 }
 
-// freeAddr returns a loopback address that is free for TCP and UDP.
+// addresses counts the addresses that freeAddr has returned.
+var addresses atomic.Uint32
+
+// freeAddr returns a loopback address that is free for TCP and UDP. Each call uses another IP
+// address, so that no other listener or connection takes the port before the node opens it.
 func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n := addresses.Add(1)
+	ip := net.IPv4(127, byte(2+os.Getpid()%250), byte(n>>8), byte(n))
+	l, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
 	if err != nil {
 		return "", err
 	}
