--- a/review/_standin2/deployment.go
+++ b/review/_standin2/deployment.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -37,7 +38,11 @@
 	regions string
 	store   *store
 	// cut is whether the nodes of the two sides are separated.
-	cut     atomic.Bool
+	cut atomic.Bool
+
+	// life is held while a process starts and while all are ended.
+	life    sync.Mutex
+	stopped bool
 	servers []*server
 	nodes   []*node
 	rec     *record
@@ -154,6 +159,11 @@
 
 // startNode starts the process of a node.
 func (d *deployment) startNode(n *node, first bool) error {
+	d.life.Lock()
+	defer d.life.Unlock()
+	if d.stopped {
+		return errors.New("the case has been ended")
+	}
 	path := filepath.Join(d.folder, n.name+".yaml")
 	if err := os.WriteFile(path, []byte(d.settings(n, first)), 0o600); err != nil {
 		return err
@@ -207,6 +217,9 @@
 
 // stop ends all nodes, and keeps their logs if KEEP_LOGS names a folder.
 func (d *deployment) stop() {
+	d.life.Lock()
+	defer d.life.Unlock()
+	d.stopped = true
 	for _, n := range d.nodes {
 		n.kill()
 		if folder := os.Getenv("KEEP_LOGS"); folder != "" {
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -29,7 +29,7 @@
 
 var cases = map[string]func(d *deployment, trouble bool) error{"quota": playQuota}
 
-// regionsOf are the regions of each case, as in the settings of a node.
+// regions are the region of each zone, as in the settings of a node.
 const regions = `{"nbo-a": "nairobi", "mba-a": "mombasa", "ksm-a": "kisumu"}`
 
 // longest is how long a case may take. It then ends all processes and fails.
